--- a/dunepin/__init__.py
+++ /dev/null
@@ -1,7 +0,0 @@
-"""dunepin: decides, for a dispatcher, which job goes to which worker, when, and which job is refused."""
-
-from dunepin.decide import Dispatcher
-from dunepin.interface import Settings
-
-__all__ = ["Dispatcher", "Settings"]
-__version__ = "0.1.0"
--- a/tests/test_basics.py
+++ b/tests/test_basics.py
@@ -1,7 +1,7 @@
 """The module as a new user would first meet it."""
 
-from dunepin import Dispatcher, Settings
-from dunepin import interface as api
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
 
 
 def test_a_job_goes_to_a_known_worker_and_is_finished_by_its_answer():
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from dunepin import Dispatcher, Settings
-from dunepin import interface as api
-from dunepin.decide import Controller, Gap
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
+from yewrill.decide import Controller, Gap
 
 
 def detect(limits, lam, counts, between, x):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dunepin import Dispatcher, Settings
-from dunepin import interface as api
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
 
 CLASSES = [
     api.JobClass("safe", 200.0, 2000.0, 1.0, 0.3, api.SAFE, stretch=2.0),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,8 @@
 import orjson
 import pytest
 
-from dunepin.adapter import serve
-from dunepin.wire import WireError, decode_settings
+from yewrill.benchlink import serve
+from yewrill.wire import WireError, decode_settings
 
 CONFIG = {
     "request_classes": [{"name": "c", "aim": 500.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0}],
@@ -56,9 +56,9 @@
 
 
 def test_bad_input_ends_the_process_with_one_message():
-    done = subprocess.run([sys.executable, "-m", "dunepin.adapter"], input=b"[1\n", capture_output=True)
+    done = subprocess.run([sys.executable, "-m", "yewrill.benchlink"], input=b"[1\n", capture_output=True)
     assert done.returncode == 1 and done.stdout == b""
-    assert done.stderr.startswith(b"dunepin: line 1:") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"yewrill: line 1:") and done.stderr.count(b"\n") == 1
 
 
 def test_settings_absent_or_impossible():
--- /dev/null
+++ b/yewrill/__main__.py
@@ -0,0 +1,25 @@
+"""`python -m yewrill`: one real dispatcher, told where its configuration is by BALANCER_CONFIG."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from yewrill.config import ENV_CONFIG, ConfigError, load_config
+from yewrill.service import serve
+
+
+def main() -> int:
+    path = os.environ.get(ENV_CONFIG)
+    try:
+        if not path:
+            raise ConfigError(f"{ENV_CONFIG}: not set")
+        config = load_config(path, os.environ)
+    except ConfigError as error:
+        print(f"yewrill: {error}", file=sys.stderr)
+        return 2
+    return serve(config, os.environ.get("YEWRILL_LOG", "INFO"))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dunepin/adapter.py
+++ b/yewrill/benchlink.py
@@ -1,6 +1,6 @@
 """Hosts dispatchers behind the simulator's wire: decodes batches, routes events, encodes actions.
 
-No decision is made here. `python -m dunepin.adapter` reads standard input and writes standard output.
+No decision is made here. `python -m yewrill.benchlink` reads standard input and writes standard output.
 """
 
 from __future__ import annotations
@@ -11,9 +11,9 @@
 
 import orjson
 
-from dunepin import interface as api
-from dunepin.decide import Dispatcher
-from dunepin.wire import WireError, decode_event, decode_settings, encode_action
+from yewrill import interface as api
+from yewrill.decide import Dispatcher
+from yewrill.wire import WireError, decode_event, decode_settings, encode_action
 
 END = orjson.dumps({"what": "End"}) + b"\n"
 
@@ -97,7 +97,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (WireError, ValueError) as error:
-        print(f"dunepin: {error}", file=sys.stderr)
+        print(f"yewrill: {error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/yewrill/config.py
@@ -0,0 +1,302 @@
+"""The one place where configuration is read, checked and given defaults. Every error names its key."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from yewrill import interface as api
+from yewrill.facade import Destination
+from yewrill.wire import WireError, decode_settings
+
+ENV_CONFIG = "BALANCER_CONFIG"
+FRONTS = ("platform", "progress")
+# Environment variables that stand in for the file's own keys.
+ENV_KEYS = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY"}
+_STATES = {"SERVING": api.RUNNING, "DRAINING": api.DRAINING, "DELETED": api.GONE}
+
+
+class ConfigError(Exception):
+    """Configuration or a list that can't be used; the text begins with the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Places:
+    """The names that lists use for zones and machine kinds; the module knows their positions."""
+
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+
+    @staticmethod
+    def position(value: Any, names: tuple[str, ...], key: str) -> int:
+        """A name's position; one that the settings don't list stands past their end, as somewhere else."""
+        if isinstance(value, str):
+            return names.index(value) if value in names else len(names)
+        return _whole(value, key)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    settings: api.Settings
+    name: str = "yewrill"
+    seed: int = 0
+    limits: Limits = field(default_factory=Limits)
+    places: Places = field(default_factory=Places)
+    known: Mapping[str, Any] | None = None
+    front: str = "platform"
+    answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
+    linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
+    connect_timeout_ms: float = 150.0
+    idle_close_ms: float = 10000.0
+
+
+# ------------------------------------------------------------------------------------------- checked values
+
+
+def _number(value: Any, key: str, low: float = 0.0, high: float = 1e18, *, open_low: bool = False) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ConfigError(f"{key}: a number is needed, not {_show(value)}")
+    if not low <= value <= high or (open_low and value == low):
+        raise ConfigError(f"{key}: {value} is not {'above' if open_low else 'at least'} {low:g}"
+                          + (f" and at most {high:g}" if high < 1e18 else ""))
+    return value
+
+
+def _whole(value: Any, key: str, low: int = 0, high: int = 2**53) -> int:
+    number = _number(value, key, low, high)
+    if number != int(number):
+        raise ConfigError(f"{key}: a whole number is needed, not {number}")
+    return int(number)
+
+
+def _text(value: Any, key: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{key}: a text is needed, not {_show(value)}")
+    return value
+
+
+def _object(value: Any, key: str) -> Mapping[str, Any]:
+    if not isinstance(value, Mapping):
+        raise ConfigError(f"{key}: an object is needed, not {_show(value)}")
+    return value
+
+
+def _list(value: Any, key: str) -> list:
+    if not isinstance(value, list):
+        raise ConfigError(f"{key}: a list is needed, not {_show(value)}")
+    return value
+
+
+def _show(value: Any) -> str:
+    text = ujson.dumps(value) if value is not None else "nothing"
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def _one_of(value: Any, key: str, words: tuple[str, ...]) -> str:
+    if value not in words:
+        raise ConfigError(f"{key}: {_show(value)} is not one of {', '.join(words)}")
+    return value
+
+
+def read_address(value: Any, key: str, *, any_port: bool = False) -> tuple[str, int]:
+    """`host:port` with an IPv4 address; there is no DNS where this runs."""
+    host, _, port = _text(value, key).rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ConfigError(f"{key}: {_show(value)} is not IPv4-ADDRESS:PORT") from None
+    if not port.isascii() or not port.isdigit() or not (0 if any_port else 1) <= int(port) <= 65535:
+        raise ConfigError(f"{key}: {_show(value)} has no port from 1 to 65535")
+    return host, int(port)
+
+
+# ----------------------------------------------------------------------------------------------------- lists
+
+
+def read_destinations(answer: Any, key: str, places: Places) -> list[Destination]:
+    """The destinations in one of discovery's answers, or in the list last known."""
+    answer = _object(answer, key)
+    _whole(answer.get("version"), f"{key}.version")
+    found = []
+    for i, entry in enumerate(_list(answer.get("servers"), f"{key}.servers")):
+        at = f"{key}.servers[{i}]"
+        entry = _object(entry, at)
+        state = _STATES.get(entry.get("state", "SERVING"))
+        if state is None:
+            raise ConfigError(f"{at}.state: {_show(entry.get('state'))} is not one of {', '.join(_STATES)}")
+        gone = state == api.GONE  # what is gone needs no address
+        found.append(Destination(
+            _text(entry.get("id"), f"{at}.id"),
+            ("", 0) if gone and not entry.get("addr") else read_address(entry.get("addr"), f"{at}.addr"),
+            Places.position(entry.get("zone", 0), places.zones, f"{at}.zone"),
+            Places.position(entry.get("kind", 0), places.kinds, f"{at}.kind"),
+            _whole(entry.get("cell", 0), f"{at}.cell"), state,
+            _number(entry.get("weight", 1.0), f"{at}.weight"),
+            _number(entry.get("started_ms", 0), f"{at}.started_ms"),
+        ))
+    return found
+
+
+# -------------------------------------------------------------------------------------------------- settings
+
+# Numbers of the settings that must make sense wherever they are given: path, lowest, may be lowest.
+_NUMBERS = (
+    ("limits.try_limit", 1.0, True), ("limits.connect_timeout", 0.0, False),
+    ("limits.idle_close", 0.0, False), ("limits.max_retry_after", 0.0, True),
+    ("rules.answer_slack", 0.0, True), ("rules.fall", 0.0, True), ("rules.fall_multiple", 0.0, False),
+    ("rules.start_capacity", 0.0, False), ("rules.warm_after", 0.0, True),
+    ("rules.stop_sending_within", 0.0, True), ("tick", 0.0, False), ("instances", 1.0, True),
+    ("over_share_worth", 0.0, True), ("specifics.progress", 0.0, True),
+)
+
+
+def read_settings(raw: Any) -> api.Settings:
+    """The settings, checked key by key, as the module takes them."""
+    raw = _object(raw, "settings")
+    for part in ("limits", "rules", "specifics", "load_report", "fees", "client_habits"):
+        _object(raw.get(part, {}), f"settings.{part}")
+    for part in ("areas", "kinds", "parties", "request_classes"):
+        _list(raw.get(part, []), f"settings.{part}")
+    for path, low, closed in _NUMBERS:
+        at: Any = raw
+        for part in path.split("."):
+            at = at.get(part) if isinstance(at, Mapping) else None
+        if at is not None:
+            _number(at, f"settings.{path}", low, open_low=not closed)
+    for name, value in raw.get("fees", {}).items():
+        _number(value, f"settings.fees.{name}")
+    if not raw.get("request_classes"):
+        raise ConfigError("settings.request_classes: at least one class is needed")
+    names: set[str] = set()
+    for i, job_class in enumerate(raw["request_classes"]):
+        _check_class(_object(job_class, f"settings.request_classes[{i}]"), i, names)
+    kinds = len(raw.get("kinds", []))
+    for i, kind in enumerate(_list(raw.get("specifics", {}).get("class_kind", []),
+                                   "settings.specifics.class_kind")):
+        if _whole(kind, f"settings.specifics.class_kind[{i}]", -1) >= max(1, kinds):
+            raise ConfigError(f"settings.specifics.class_kind[{i}]: no machine kind {kind} in settings.kinds")
+    for i, value in enumerate(_list(raw.get("specifics", {}).get("class_stretch", []),
+                                    "settings.specifics.class_stretch")):
+        _number(value, f"settings.specifics.class_stretch[{i}]")
+    tenants: set[str] = set()
+    for i, tenant in enumerate(raw.get("parties", [])):
+        at = f"settings.parties[{i}]"
+        name = _text(_object(tenant, at).get("name"), f"{at}.name")
+        if name in tenants:
+            raise ConfigError(f"{at}.name: {_show(name)} is there twice")
+        tenants.add(name)
+        _number(tenant.get("quota_per_s", 0.0), f"{at}.quota_per_s")
+        _number(tenant.get("share", 1.0), f"{at}.share", 0.0, 1.0)
+    try:
+        return decode_settings(raw)
+    except WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    except (TypeError, AttributeError) as error:
+        raise ConfigError(f"settings: of the wrong shape: {error}") from None
+
+
+def _check_class(job_class: Mapping[str, Any], i: int, names: set[str]) -> None:
+    at = f"settings.request_classes[{i}]"
+    name = _text(job_class.get("name"), f"{at}.name")
+    if name in names:
+        raise ConfigError(f"{at}.name: {_show(name)} is there twice")
+    if "/" in name or not name.isascii() or not name.isprintable() or " " in name:
+        raise ConfigError(f"{at}.name: {_show(name)} can't be the first part of a path")
+    names.add(name)
+    deadline = _number(job_class.get("deadline"), f"{at}.deadline", open_low=True)
+    _number(job_class.get("aim", deadline), f"{at}.aim", 0.0, deadline)
+    for key in ("window", "value", "late_value", "aim_stretch"):
+        _number(job_class.get(key, 0.0), f"{at}.{key}")
+    _one_of(job_class.get("repeat", "pure"), f"{at}.repeat", ("pure", "token", "side_effect"))
+    if job_class.get("repeat") == "token":
+        _one_of(job_class.get("group", "all"), f"{at}.group", ("all", "zone", "cell"))
+        _number(job_class.get("window"), f"{at}.window", open_low=True)
+
+
+# --------------------------------------------------------------------------------------------- the whole file
+
+
+def read_config(raw: Any, environment: Mapping[str, str] | None = None) -> Config:
+    """Check a decoded configuration. The environment's variables stand in for keys that are absent."""
+    raw = dict(_object(raw, "configuration"))
+    for key, variable in ENV_KEYS.items():
+        if key not in raw and (environment or {}).get(variable):
+            raw[key] = environment[variable]
+    known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing"}
+    for key in ("listen", "discovery", "settings"):
+        if key not in raw:
+            raise ConfigError(f"{key}: missing")
+    limits = _object(raw.get("limits", {}), "limits")
+    default = Limits()
+    timing = _object(raw.get("timing", {}), "timing")
+    for key in timing:
+        if key not in ("answer_margin_ms", "linger_ms"):
+            raise ConfigError(f"timing.{key}: no such key")
+    for key in raw:
+        if key not in known_keys and not key.startswith("x-"):
+            # The platform may add keys that are no concern of ours; a misspelt one of ours must not pass.
+            close = [k for k in known_keys if k.lower() == key.lower().replace("-", "_")]
+            if close:
+                raise ConfigError(f"{key}: no such key; {close[0]} is meant?")
+    settings = read_settings(raw["settings"])
+    places = Places(*(tuple(_text(name, f"settings.{part}[{i}]")
+                            for i, name in enumerate(raw["settings"].get(part, [])))
+                      for part in ("areas", "kinds")))
+    if raw.get("known") is not None:
+        read_destinations(raw["known"], "known", places)
+    seed = raw.get("seed", "0")
+    try:
+        seed = int(seed, 16) if isinstance(seed, str) else _whole(seed, "seed", high=2**64)
+    except ValueError:
+        raise ConfigError(f"seed: {_show(seed)} is not a hexadecimal number") from None
+    raw_limits = _object(raw["settings"].get("limits", {}), "settings.limits")
+    margin = _number(timing.get("answer_margin_ms", 20.0), "timing.answer_margin_ms", 1.0, 1000.0)
+    shortest = min(c.deadline for c in settings.classes)
+    if margin * 2 > shortest:
+        raise ConfigError(f"timing.answer_margin_ms: {margin:g} is more than half of the shortest deadline")
+    return Config(
+        listen=read_address(raw["listen"], "listen", any_port=True),
+        discovery=read_address(raw["discovery"], "discovery"),
+        settings=settings,
+        name=_text(raw.get("name", "yewrill"), "name"),
+        seed=seed,
+        limits=Limits(
+            _number(limits.get("cores", default.cores), "limits.cores", open_low=True),
+            _whole(limits.get("memory_mb", default.memory_mb), "limits.memory_mb", 64),
+            _whole(limits.get("sockets", default.sockets), "limits.sockets", 64),
+        ),
+        places=places,
+        known=raw.get("known"),
+        front=_one_of(raw.get("front", "platform"), "front", FRONTS),
+        answer_margin_ms=margin,
+        linger_ms=_number(timing.get("linger_ms", 700.0), "timing.linger_ms", 0.0, 60000.0),
+        connect_timeout_ms=raw_limits.get("connect_timeout", 150.0),
+        idle_close_ms=raw_limits.get("idle_close", 10000.0),
+    )
+
+
+def load_config(path: str | Path, environment: Mapping[str, str] | None = None) -> Config:
+    """Read and check a configuration file."""
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    try:
+        raw = ujson.loads(text)
+    except (ValueError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    return read_config(raw, environment)
--- a/dunepin/decide.py
+++ b/yewrill/decide.py
@@ -1,4 +1,4 @@
-"""Every decision dunepin takes. Its types, events, actions and settings stand in `dunepin/interface.py`.
+"""Every decision yewrill takes. Its types, events, actions and settings stand in `yewrill/interface.py`.
 
 The mechanism is the overload control of Andersson, Nyberg and Kihl (ITCom 2003): a *selector* holds jobs
 earliest deadline first, a *controller* tests at every arrival and departure whether their time constraints
@@ -13,7 +13,7 @@
 from bisect import bisect_left, insort
 from heapq import heappop, heappush
 
-from dunepin import interface as api
+from yewrill import interface as api
 
 # Settings of the mechanism (the paper's names).
 MARGIN_F = 0.9  # f: the right side of (4) and (6) times f signals load level 1
--- /dev/null
+++ b/yewrill/facade.py
@@ -0,0 +1,308 @@
+"""The module in blocking style: pick a route step for an operation, report how it ended, tick the clock.
+
+Nothing outside this file sees the module's events, actions, timers or probes. Times are milliseconds on the
+facade's own monotonic clock.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Any
+
+import trio
+
+from yewrill import interface as api
+from yewrill.decide import Dispatcher
+from yewrill.ending import Ending
+
+log = logging.getLogger("yewrill.facade")
+
+# The clock starts here, not at 0: a destination's start shortly before ours must come out above 0, which the
+# module reads as "long ago".
+CLOCK_START = 1_000_000.0
+# How long past an operation's deadline `pick` waits for the module before it answers by itself. It guards
+# against a module that lost the operation; the module's own clock is always earlier.
+BACKSTOP = 10.0
+
+
+@dataclass(eq=False, slots=True)
+class Operation:
+    """A client's request, as the core and the module know it. `payload` belongs to the front."""
+
+    id: str
+    job_class: int
+    deadline: float
+    tenant: int = 0
+    width: float = 1.0
+    memory: float = 0.0
+    hint: float = 0.0
+    payload: Any = None
+    client_left: bool = False
+    on_progress: Callable[[float], None] | None = None
+    # The facade's own.
+    key: str = ""
+    steps: int = 0
+    live: RouteStep | None = None
+    choice: RouteStep | BusyReply | Failure | None = None
+    chosen: trio.Event | None = None
+    closed: bool = False  # nothing more is owed to the client
+
+
+@dataclass(eq=False, slots=True)
+class RouteStep:
+    """One attempt of an operation at one destination."""
+
+    operation: Operation
+    number: int
+    destination: str
+    until: float  # when to stop waiting
+    sent: float = 0.0
+    withdrawn: Ending | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def withdraw(self, ending: Ending) -> None:
+        """Stop waiting; whoever carries the step closes its connection and reports this ending."""
+        self.withdrawn = ending
+        self.scope.cancel()
+
+
+@dataclass(frozen=True, slots=True)
+class BusyReply:
+    """Refused: trying again is harmless, best after `retry_after` milliseconds (0: no advice)."""
+
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Failed, with no promise about its effect."""
+
+    text: str = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """A line of the pool config."""
+
+    id: str
+    address: tuple[str, int]
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    state: str = api.RUNNING
+    weight: float = 1.0
+    started_ms: float = 0.0  # wall clock
+
+
+Prober = Callable[[str], Awaitable[Ending]]
+
+
+class Decisions:
+    """One instance of the module and its clock."""
+
+    def __init__(self, settings: api.Settings, seed: int):
+        self._module = Dispatcher(settings, seed)
+        self._base = trio.current_time() - CLOCK_START / 1000.0
+        # Worked out once: the module takes any change of a start time for a restart, so a wall clock that
+        # is being set must not move the start times already told.
+        self._wall_base = time.time() * 1000.0 - CLOCK_START
+        self._events: list[api.Event] = []
+        self._timers: list[tuple[float, int]] = []
+        self._probes: list[str] = []
+        self._operations: dict[str, Operation] = {}
+        self._count = 0
+        self._wake = trio.Event()
+
+    # -- time
+
+    def now(self) -> float:
+        return (trio.current_time() - self._base) * 1000.0
+
+    def loop_time(self, at: float) -> float:
+        """The event loop's time for a time of this clock."""
+        return self._base + at / 1000.0
+
+    # -- what the network code calls
+
+    async def pick(self, operation: Operation) -> RouteStep | BusyReply | Failure | None:
+        """Wait for the module's next choice for an operation; None once its client has left."""
+        if not operation.key:
+            self._count += 1
+            # The client's own id is not the key: two clients may send the same one.
+            operation.key = str(self._count)
+            self._operations[operation.key] = operation
+            self._put(api.JobArrived(operation.key, operation.job_class, operation.deadline, operation.tenant,
+                                     operation.width, operation.memory, operation.hint))
+        if operation.choice is None and not operation.closed:
+            operation.chosen = trio.Event()
+            with trio.move_on_at(self.loop_time(operation.deadline + BACKSTOP)):
+                await operation.chosen.wait()
+            operation.chosen = None
+        choice, operation.choice = operation.choice, None
+        if choice is None:
+            if operation.client_left:
+                return None
+            if not operation.closed:
+                log.error("no-decision operation=%s: answered without the module", operation.id)
+                self._close(operation, tell=True)
+            return Failure("no decision")
+        if isinstance(choice, RouteStep):
+            operation.live = choice
+        return choice
+
+    def report(self, step: RouteStep, ending: Ending) -> None:
+        """Tell how a route step ended. A served one concludes its operation."""
+        operation = step.operation
+        operation.live = None
+        if ending is Ending.SERVED:
+            self._close(operation)
+        elapsed = self.now() - step.sent if step.sent else 0.0
+        self._put(api.AttemptEnded(operation.key, step.number, step.destination, ending.outcome, elapsed,
+                                   operation.closed))
+
+    def started(self, step: RouteStep) -> None:
+        self._put(api.AttemptStarted(step.operation.key, step.number, step.destination))
+
+    def progress(self, step: RouteStep, share: float) -> None:
+        self._put(api.AttemptProgress(step.operation.key, step.number, step.destination, share))
+
+    def left(self, operation: Operation) -> None:
+        """The client has gone: nothing more is owed. An attempt that is out runs on: its end tells much."""
+        operation.client_left = True
+        if operation.key and not operation.closed:
+            self._close(operation, tell=True)
+            step = operation.choice
+            if isinstance(step, RouteStep):  # chosen, not yet taken up
+                operation.choice = None
+                self.report(step, Ending.NOT_SENT)
+            if operation.chosen is not None:
+                operation.chosen.set()
+
+    def pool_config(self, destinations: Iterable[Destination], *, full: bool, cached: bool = False) -> None:
+        """What discovery tells."""
+        form = api.LIST_CACHED if cached else api.LIST_FULL if full else api.LIST_CHANGES
+        self._put(api.WorkerList(form, [
+            api.WorkerEntry(d.id, d.zone, d.kind, d.cell, d.state, d.weight, self._launched(d.started_ms))
+            for d in destinations
+        ]))
+
+    def tick(self) -> None:
+        """Hand everything that is ready to the module, as one moment, and carry out what it decides."""
+        now = self.now()
+        events, self._events = self._events, []
+        while self._timers and self._timers[0][0] <= now:
+            events.append(api.TimerFired(heappop(self._timers)[1]))
+        if not events:
+            return
+        try:
+            actions = self._module.handle(now, events)
+            faulty = False
+        except Exception:
+            log.exception("module-fault events=%d", len(events))
+            actions, faulty = self._module.out, True
+        for action in actions:
+            try:
+                self._carry_out(action, now)
+            except Exception:
+                log.exception("action-fault action=%r", action)
+        if faulty:
+            self._give_up_batch(events)
+        for event in events:
+            if type(event) is api.ClientLeft:
+                self._operations.pop(event.job, None)
+
+    async def run(self, probe: Prober) -> None:
+        """Tick whenever something is ready or due; probes run beside."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                at = self.loop_time(self._timers[0][0]) if self._timers else math.inf
+                with trio.move_on_at(at):
+                    await self._wake.wait()
+                # One more round of the loop: whatever else the same read of the sockets has made ready
+                # belongs to this moment, and one call of the module is cheaper than several.
+                await trio.lowlevel.checkpoint()
+                self._wake = trio.Event()
+                self.tick()
+                probes, self._probes = self._probes, []
+                for destination in probes:
+                    nursery.start_soon(self._probe, probe, destination)
+
+    # -- inside
+
+    def _put(self, event: api.Event) -> None:
+        self._events.append(event)
+        self._wake.set()
+
+    def _launched(self, started_ms: float) -> float:
+        return max(1.0, started_ms - self._wall_base) if started_ms > 0 else 0.0
+
+    def _close(self, operation: Operation, tell: bool = False) -> None:
+        if not operation.closed:
+            operation.closed = True
+            if tell:  # it stays known until the module has heard, for what the module may send before
+                self._put(api.ClientLeft(operation.key))
+            else:
+                self._operations.pop(operation.key, None)
+
+    def _choose(self, operation: Operation, choice: RouteStep | BusyReply | Failure) -> None:
+        operation.choice = choice
+        if operation.chosen is not None:
+            operation.chosen.set()
+
+    def _carry_out(self, action: api.Action, now: float) -> None:
+        kind = type(action)
+        if kind is api.Send:
+            operation = self._operations.get(action.job)
+            if operation is None:
+                log.error("send-unknown job=%s", action.job)
+                return
+            until = operation.deadline
+            if action.timeout:
+                until = min(until, now + action.timeout)
+            step = RouteStep(operation, operation.steps, action.worker, until)
+            operation.steps += 1
+            if operation.closed:  # it ended between the module's last moment and this one
+                self.report(step, Ending.NOT_SENT)
+            else:
+                self._choose(operation, step)
+        elif kind is api.Refuse or kind is api.Fail:
+            operation = self._operations.get(action.job)
+            if operation is None or operation.closed:
+                return
+            self._close(operation)
+            if operation.live is not None:
+                operation.live.withdraw(Ending.TIMED_OUT)
+            self._choose(operation, BusyReply(action.retry_after) if kind is api.Refuse else Failure())
+        elif kind is api.SetTimer:
+            heappush(self._timers, (now + action.delay, action.token))
+        elif kind is api.Probe:
+            self._probes.append(action.worker)
+        elif kind is api.Cancel:
+            operation = self._operations.get(action.job)
+            if operation is not None and operation.live is not None \
+                    and operation.live.number == action.attempt:
+                operation.live.withdraw(Ending.CALLED_OFF)
+        elif kind is api.Log:
+            log.info("module %s", action.text)
+        # WatchList asks for nothing here: discovery is always watched.
+
+    def _give_up_batch(self, events: list[api.Event]) -> None:
+        """After a fault in the module no operation of that moment can count on an answer from it."""
+        for event in events:
+            operation = self._operations.get(getattr(event, "job", ""))
+            if operation is not None and operation.choice is None and operation.live is None:
+                self._close(operation, tell=True)
+                self._choose(operation, Failure("internal fault"))
+
+    async def _probe(self, probe: Prober, destination: str) -> None:
+        try:
+            ending = await probe(destination)
+        except Exception:
+            log.exception("probe-fault destination=%s", destination)
+            ending = Ending.BROKEN
+        self._put(api.ProbeEnded(destination, ending.outcome))
--- /dev/null
+++ b/yewrill/fronts/platform.py
@@ -0,0 +1,180 @@
+"""The platform's protocol: requests to operations, answers to replies, route steps to destinations' words."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import ujson
+
+from yewrill.core import Answer, Served
+from yewrill.facade import BusyReply, Operation, RouteStep
+from yewrill.interface import Settings
+from yewrill.net.destinations import Garbled, Word
+from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request
+
+MAX_ID = 256
+# Not passed on: they concern one connection, or are written anew.
+_HOP = frozenset((
+    b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"expect",
+    b"proxy-connection", b"content-length", b"x-timeout-ms", b"accept", b"host",
+))
+
+
+def _number(text: str, what: str, low: float, high: float) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not low <= value <= high:  # not a number fails too
+        raise BadRequest(400, f"bad number in {what}")
+    return value
+
+
+class Reader:
+    """Turns a request's headers into an operation; used by every front."""
+
+    def __init__(self, settings: Settings, margin: float):
+        self.settings = settings
+        self.margin = margin
+        self._classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name: i for i, t in enumerate(settings.tenants)}
+
+    def job_class(self, request: Request) -> int:
+        """The class; 404 and 405 come before any look at the headers."""
+        first = request.target.partition("?")[0].lstrip("/").partition("/")[0]
+        if first not in self._classes:
+            raise BadRequest(404, "no such path")
+        if request.method != "POST":
+            raise BadRequest(405, "POST only", (("Allow", "POST"),))
+        named = request.one(b"x-priority-class")
+        if named is not None and named not in self._classes:
+            raise BadRequest(400, "unknown class in X-Priority-Class")
+        if named is not None and named != first:
+            raise BadRequest(400, "X-Priority-Class and path name different classes")
+        return self._classes[first]
+
+    def operation(self, request: Request, now: float) -> Operation:
+        """`now` is the time at which the request's first byte was read, on the module's clock."""
+        job_class = self.job_class(request)
+        id = request.one(b"x-request-id")
+        if not id or len(id) > MAX_ID or not id.isprintable():
+            raise BadRequest(400, "X-Request-ID is missing or no plain id")
+        tenant = 0
+        if self._tenants:
+            name = request.one(b"x-tenant-id")
+            if name not in self._tenants:
+                raise BadRequest(400, "unknown tenant in X-Tenant-Id")
+            tenant = self._tenants[name]
+        request.one(b"idempotency-key")
+        patience = request.one(b"x-timeout-ms")
+        if patience is None:
+            wait = self.settings.classes[job_class].deadline
+        elif patience.isascii() and patience.isdigit():
+            wait = _number(patience, "X-Timeout-Ms", 1, 86_400_000)
+        else:
+            raise BadRequest(400, "bad number in X-Timeout-Ms")
+        retried = request.one(b"x-retried")
+        if retried not in (None, "0", "1"):
+            raise BadRequest(400, "X-Retried is neither 0 nor 1")
+        figures = self._figures(request.one(b"x-attrs"))
+        cost = request.one(b"x-cost")
+        return Operation(
+            id, job_class,
+            # Short patience keeps at least half of its time, however wide the margin.
+            now + max(wait - self.margin, wait * 0.5),
+            tenant,
+            width=figures.get("width", figures.get("slots", 1.0)),
+            memory=figures.get("memory", 0.0),
+            hint=_number(cost, "X-Cost", 0, 1e9) if cost is not None else figures.get("expected", 0.0),
+            payload=request,
+        )
+
+    @staticmethod
+    def _figures(text: str | None) -> dict[str, float]:
+        figures: dict[str, float] = {}
+        for part in (text or "").split(","):
+            name, equals, value = part.strip().partition("=")
+            if not name:
+                continue
+            if not equals or name in figures:
+                raise BadRequest(400, "malformed X-Attrs")
+            if name in ("width", "slots", "memory", "expected"):
+                figures[name] = _number(value, f"X-Attrs {name}", 0, 1e9)
+            else:
+                figures[name] = 0.0  # a figure the module has no use for
+        return figures
+
+
+def passed_on(step: RouteStep, wait_ms: int, accept: str = "") -> tuple[str, str, list[tuple], bytes]:
+    """The client's request as it goes to a destination: only what concerns the connection is new."""
+    request: Request = step.operation.payload
+    headers: list[tuple] = [("Host", "destination")]
+    headers += [pair for pair in request.headers if pair[0] not in _HOP]
+    headers.append(("X-Timeout-Ms", str(wait_ms)))
+    if accept:
+        headers.append(("Accept", accept))
+    headers.append(("Content-Length", str(len(request.body))))
+    return request.method, request.target, headers, request.body
+
+
+def word_of(text: bytes | str) -> Word:
+    """One JSON object of a destination's."""
+    try:
+        said = ujson.loads(text)
+        share = said.get("share", 0.0)
+        state = said["state"]
+        if not isinstance(state, str) or isinstance(share, bool) or not isinstance(share, (int, float)):
+            raise Garbled("fields of the wrong type")
+        if state == "done" and "result" not in said:
+            raise Garbled("done without a result")
+        return Word(said["id"], state, float(share), said.get("result"))
+    except (ValueError, KeyError, AttributeError, TypeError) as error:
+        raise Garbled(f"not a job's line: {type(error).__name__}") from None
+
+
+def body_of(result: Any) -> bytes:
+    return result.encode() if isinstance(result, str) else ujson.dumps(result).encode()
+
+
+def retry_after(answer: BusyReply) -> str:
+    return f"{answer.retry_after / 1000.0:.3f}".rstrip("0").rstrip(".")
+
+
+class _Lines:
+    """Destinations' lines of JSON, in whatever pieces they come."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Word]:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > MAX_BODY:
+            raise Garbled("line too long")
+        return [word_of(line) for line in lines if line.strip()]
+
+
+class PlatformFront:
+    """One job, one request, one reply."""
+
+    content_type = ""
+    streams = False
+
+    def __init__(self, reader: Reader):
+        self.reader = reader
+
+    def request(self, step: RouteStep, wait_ms: int) -> tuple[str, str, list[tuple], bytes]:
+        return passed_on(step, wait_ms)
+
+    def decoder(self) -> _Lines:
+        return _Lines()
+
+    def reply(self, answer: Answer) -> Reply:
+        if isinstance(answer, Served):
+            return Reply(200, body_of(answer.result), content_type="application/octet-stream")
+        if isinstance(answer, BusyReply):
+            headers = [("Retry-After", retry_after(answer))] if answer.retry_after > 0 else []
+            return Reply(503, b"busy\n", headers)
+        return Reply(502, answer.text.encode() + b"\n")
--- /dev/null
+++ b/yewrill/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: buffers, connections, the listener, destinations, discovery."""
--- /dev/null
+++ b/yewrill/net/connection.py
@@ -0,0 +1,110 @@
+"""A TCP connection with one ring buffer for each direction."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from enum import Enum
+
+import trio
+
+from yewrill.net.ring import RingBuffer
+
+RING = 8192
+
+
+class Quiet(Enum):
+    """What a connection that should be idle shows."""
+
+    IDLE = "idle"
+    ENDED = "ended"
+    STRAY = "stray bytes"
+
+
+class Connection:
+    __slots__ = ("sock", "inbound", "outbound", "closed", "unsent")
+
+    def __init__(self, sock: socket.socket, ring: int = RING):
+        sock.setblocking(False)
+        with suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+        self.inbound = RingBuffer(ring)
+        self.outbound = RingBuffer(ring)
+        self.closed = False
+        self.unsent = 0  # bytes of the present `send` that the system has not taken
+
+    @classmethod
+    async def open(cls, address: tuple[str, int], ring: int = RING) -> Connection:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = cls(sock, ring)
+        try:
+            try:
+                sock.connect(address)
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(sock)
+                error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if error:
+                    raise OSError(error, "connect failed") from None
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    async def fill(self) -> int:
+        """Read what has come into the inbound ring; 0 at the end of the stream."""
+        while True:
+            count = self.fill_now()
+            if count is not None:
+                return count
+            await trio.lowlevel.wait_readable(self.sock)
+
+    def fill_now(self) -> int | None:
+        """As `fill`, or None if nothing has come."""
+        if self.closed:
+            raise OSError("connection closed here")
+        try:
+            count = self.sock.recv_into(self.inbound.space())
+        except (BlockingIOError, InterruptedError):
+            return None
+        self.inbound.filled(count)
+        return count
+
+    async def receive(self) -> bytes:
+        """The next bytes, empty at the end of the stream."""
+        if not len(self.inbound):
+            await self.fill()
+        return self.inbound.take()
+
+    async def send(self, data: bytes) -> None:
+        view = memoryview(data)
+        done = 0
+        self.unsent = len(data)
+        while self.unsent:
+            done += self.outbound.put(view[done:])
+            if self.closed:
+                raise OSError("connection closed here")
+            try:
+                count = self.sock.send(self.outbound.pending())
+            except (BlockingIOError, InterruptedError):
+                await trio.lowlevel.wait_writable(self.sock)
+                continue
+            self.outbound.used(count)
+            self.unsent -= count
+
+    def quiet(self) -> Quiet:
+        """Whether an idle connection may be used again: never one with its end or stray bytes waiting."""
+        if len(self.inbound):
+            return Quiet.STRAY
+        try:
+            return Quiet.STRAY if self.sock.recv(1, socket.MSG_PEEK) else Quiet.ENDED
+        except (BlockingIOError, InterruptedError):
+            return Quiet.IDLE
+        except OSError:
+            return Quiet.ENDED
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
--- /dev/null
+++ b/yewrill/net/destinations.py
@@ -0,0 +1,317 @@
+"""Connections to destinations, and one route step carried over one of them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import h11
+import trio
+
+from yewrill.ending import Ending
+from yewrill.facade import Decisions, Destination, RouteStep
+from yewrill.net.connection import Connection, Quiet
+from yewrill.net.http import ClientSide, PeerEnded
+from yewrill.net.poolconfig import PoolConfig
+
+log = logging.getLogger("yewrill.destinations")
+
+PROBE_PATH = "/alive"
+PROBE_TIMEOUT = 0.2
+IDLE_PART = 0.7  # connections are retired after this part of the settings' idle limit
+SETTLE = 0.25  # how long an answered exchange may take to end before its connection is given up
+
+
+class Garbled(Exception):
+    """A destination's answer that is not the protocol's."""
+
+
+@dataclass(slots=True)
+class Word:
+    """What a destination says of a job: started, running, done, failed, returned or lost."""
+
+    id: Any
+    state: str
+    share: float = 0.0
+    result: Any = None
+
+
+class Decoder(Protocol):
+    """A front's reader of a destination's answer."""
+
+    def feed(self, data: bytes) -> list[Word]: ...
+
+
+class DestinationCodec(Protocol):
+    """How a front speaks with destinations."""
+
+    content_type: str  # what a 200 must be; empty: anything
+
+    def request(self, step: RouteStep, wait_ms: int) -> tuple[str, str, list[tuple], bytes]: ...
+
+    def decoder(self) -> Decoder: ...
+
+
+_WORD_ENDINGS = {
+    "done": Ending.SERVED, "failed": Ending.FAILED, "returned": Ending.TURNED_AWAY, "lost": Ending.RESET,
+}
+
+
+@dataclass(slots=True)
+class _Line:
+    """A connection to a destination."""
+
+    http: ClientSide
+    address: tuple[str, int]
+    idle_since: float = 0.0
+
+
+class DestinationPool:
+    def __init__(self, decisions: Decisions, pool: PoolConfig, codec: DestinationCodec, *,
+                 most: int, connect_timeout: float, idle_limit: float):
+        self._decisions = decisions
+        self._pool = pool
+        self._codec = codec
+        self._most = most
+        self._connect_timeout = connect_timeout
+        self._keep = idle_limit * IDLE_PART
+        self._idle: dict[str, list[_Line]] = {}
+        self.open = 0
+        self._settling: list[tuple[str, _Line, float]] = []
+        pool.on_change = self._changed
+
+    # -- one route step
+
+    async def attempt(self, step: RouteStep) -> tuple[Ending, Any]:
+        """Carry a route step to its end. Its connection is closed or back in the pool on return."""
+        scope = step.scope
+        scope.deadline = min(scope.deadline, self._decisions.loop_time(step.until))
+        sent = False
+
+        def on_sent() -> None:
+            nonlocal sent
+            sent = True
+
+        outcome: tuple[Ending, Any] | None = None
+        with scope:
+            outcome = await self._try(step, on_sent)
+        if outcome is not None:
+            return outcome
+        if not sent:  # given up before its last byte was written: the destination never starts on it
+            return Ending.UNREACHED if step.sent else Ending.NOT_SENT, None
+        return step.withdrawn or Ending.TIMED_OUT, None
+
+    async def _try(self, step: RouteStep, on_sent: Callable[[], None]) -> tuple[Ending, Any]:
+        destination = self._pool.get(step.destination)
+        if destination is None:
+            return Ending.NOT_SENT, None
+        line = self._take(destination)
+        if line is None:
+            if not self._make_room():
+                log.warning("sockets-short open=%d: route step not sent", self.open)
+                return Ending.NOT_SENT, None
+            try:
+                line = await self._open(destination)
+            except (OSError, trio.TooSlowError):
+                return Ending.UNREACHED, None
+        keep = False
+        try:
+            # Opening took time: the last look before the first byte.
+            if step.operation.client_left or self._decisions.now() >= step.until \
+                    or not self._pool.may_send(step.destination):
+                keep = True
+                return Ending.NOT_SENT, None
+            step.sent = self._decisions.now()
+            wait = max(1, int(step.until - step.sent))
+            data = line.http.encode(*self._codec.request(step, wait))
+            try:
+                await line.http.connection.send(data)
+            except OSError:
+                return (Ending.UNREACHED if line.http.connection.unsent else Ending.RESET), None
+            on_sent()
+            try:
+                ending, result = await self._answer(step, line)
+            except (OSError, PeerEnded):
+                return Ending.RESET, None
+            except (h11.RemoteProtocolError, Garbled) as error:
+                log.warning("garbled destination=%s: %s", step.destination, error)
+                return Ending.GARBLED, None
+            keep = ending is not Ending.RESET
+            return ending, result
+        finally:
+            if keep:
+                self._give_back(step.destination, line)
+            else:
+                self._drop(line)
+
+    async def _answer(self, step: RouteStep, line: _Line) -> tuple[Ending, Any]:
+        response = await line.http.response()
+        status = response.status_code
+        if status != 200:
+            if status in (503, 504) and (b"x-not-processed", b"1") in list(response.headers):
+                return Ending.TURNED_AWAY, None
+            return Ending.FAILED, None
+        if self._codec.content_type:
+            kinds = [value for name, value in response.headers if name == b"content-type"]
+            if not kinds or kinds[0].split(b";")[0].strip().lower() != self._codec.content_type.encode():
+                raise Garbled("wrong content type")
+        decoder = self._codec.decoder()
+        while True:
+            event = await line.http.event()
+            if isinstance(event, h11.EndOfMessage):
+                return Ending.RESET, None  # the answer ended before its last line
+            for word in decoder.feed(bytes(event.data)):
+                if word.id != step.operation.id:
+                    raise Garbled(f"answer for {str(word.id)[:64]!r}")
+                if word.state == "started":
+                    self._decisions.started(step)
+                elif word.state == "running":
+                    self._decisions.progress(step, word.share)
+                    if step.operation.on_progress is not None:
+                        step.operation.on_progress(word.share)
+                else:
+                    ending = _WORD_ENDINGS.get(word.state)
+                    if ending is None:
+                        raise Garbled(f"state {word.state[:64]!r}")
+                    return ending, word.result
+
+    # -- probes
+
+    async def probe(self, name: str) -> Ending:
+        """Ask a destination whether it is alive."""
+        destination = self._pool.get(name)
+        if destination is None or not self._pool.may_send(name):
+            return Ending.NOT_SENT
+        line = self._take(destination)
+        keep = False
+        try:
+            with trio.fail_after(PROBE_TIMEOUT):
+                if line is None:
+                    if not self._make_room():
+                        return Ending.NOT_SENT
+                    line = await self._open(destination)
+                data = line.http.encode("GET", PROBE_PATH, [("Host", "destination")])
+                await line.http.connection.send(data)
+                response = await line.http.response()
+                keep = True
+        except (OSError, trio.TooSlowError, PeerEnded):
+            return Ending.UNREACHED
+        except h11.RemoteProtocolError:
+            return Ending.GARBLED
+        finally:
+            if line is not None:
+                if keep:
+                    self._give_back(name, line)
+                else:
+                    self._drop(line)
+        return {200: Ending.SERVED, 503: Ending.TURNED_AWAY}.get(response.status_code, Ending.FAILED)
+
+    # -- the pool
+
+    async def _open(self, destination: Destination) -> _Line:
+        self.open += 1
+        try:
+            with trio.fail_after(self._connect_timeout):
+                connection = await Connection.open(destination.address)
+        except BaseException:
+            self.open -= 1
+            raise
+        return _Line(ClientSide(connection), destination.address)
+
+    def _take(self, destination: Destination) -> _Line | None:
+        """An idle connection that is young, quiet and leads to the present address; the latest used first."""
+        idle = self._idle.get(destination.id)
+        while idle:
+            line = idle.pop()
+            fresh = trio.current_time() - line.idle_since < self._keep
+            if fresh and line.address == destination.address and line.http.connection.quiet() is Quiet.IDLE:
+                return line
+            self._drop(line)
+        return None
+
+    def _give_back(self, name: str, line: _Line) -> None:
+        try:
+            settled = line.http.settled()
+        except (OSError, h11.RemoteProtocolError):
+            self._drop(line)
+            return
+        if settled or line.http.parser.our_state is h11.IDLE:
+            if not self._pool.may_send(name):
+                self._drop(line)
+                return
+            line.idle_since = trio.current_time()
+            self._idle.setdefault(name, []).append(line)
+        elif line.http.parser.their_state is h11.SEND_BODY and not line.http.connection.closed:
+            # The last line came without the end of the message: most often that is one read away.
+            self._settling.append((name, line, trio.current_time() + SETTLE))
+        else:
+            self._drop(line)
+
+    def _drop(self, line: _Line) -> None:
+        if not line.http.connection.closed:
+            line.http.connection.close()
+            self.open -= 1
+
+    def _make_room(self) -> bool:
+        """Whether one more connection may be opened; an idle one gives way if need be."""
+        if self.open < self._most:
+            return True
+        oldest = min((lines for lines in self._idle.values() if lines),
+                     key=lambda lines: lines[0].idle_since, default=None)
+        if oldest is None:
+            return False
+        self._drop(oldest.pop(0))
+        return True
+
+    def _changed(self, destination: Destination | None, name: str) -> None:
+        """The pool config has changed: idle connections to what is gone, drains or has moved are no use."""
+        for line in self._idle.get(name, ()):
+            if destination is None or line.address != destination.address or not self._pool.may_send(name):
+                self._drop(line)
+        if name in self._idle:
+            self._idle[name] = [line for line in self._idle[name] if not line.http.connection.closed]
+            if not self._idle[name]:
+                del self._idle[name]
+
+    def sweep(self) -> None:
+        """Retire idle connections before the other side does, and settle the answered ones."""
+        now = trio.current_time()
+        settling, self._settling = self._settling, []
+        for name, line, until in settling:
+            if now >= until:
+                self._drop(line)
+                continue
+            with suppress(OSError, h11.RemoteProtocolError):
+                if line.http.settled():
+                    self._give_back(name, line)
+                    continue
+                self._settling.append((name, line, until))
+                continue
+            self._drop(line)
+        for name, lines in list(self._idle.items()):
+            kept = []
+            for line in lines:
+                if now - line.idle_since < self._keep and line.http.connection.quiet() is Quiet.IDLE:
+                    kept.append(line)
+                else:
+                    self._drop(line)
+            if kept:
+                self._idle[name] = kept
+            else:
+                del self._idle[name]
+
+    async def keep_tidy(self, every: float = 0.1) -> None:
+        while True:
+            await trio.sleep(every)
+            self.sweep()
+
+    def close(self) -> None:
+        for lines in self._idle.values():
+            for line in lines:
+                self._drop(line)
+        for _, line, _ in self._settling:
+            self._drop(line)
+        self._idle, self._settling = {}, []
--- /dev/null
+++ b/yewrill/net/http.py
@@ -0,0 +1,159 @@
+"""HTTP/1.1 on a connection, parsed by h11: what clients ask here, and what is asked of others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import h11
+
+from yewrill.net.connection import Connection
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+
+
+class BadRequest(Exception):
+    """Input that is answered with a status and goes no further."""
+
+    def __init__(self, status: int, text: str, headers: tuple[tuple[str, str], ...] = ()):
+        super().__init__(text)
+        self.status = status
+        self.text = text
+        self.headers = headers
+
+
+class PeerEnded(Exception):
+    """The other side closed the connection."""
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = b""
+    arrived: float = 0.0  # when its first byte was read, on the loop's clock
+
+    def one(self, name: bytes) -> str | None:
+        """A header's value, None if absent. One given twice is ambiguous, so it is a bad request."""
+        found = [value for key, value in self.headers if key == name]
+        if len(found) > 1:
+            raise BadRequest(400, f"duplicate header {name.decode()}")
+        try:
+            return found[0].decode("ascii") if found else None
+        except UnicodeDecodeError:
+            raise BadRequest(400, f"header {name.decode()} is not plain ASCII") from None
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    content_type: str = "text/plain; charset=utf-8"
+
+
+class ServerSide:
+    """The parser's state of one client connection."""
+
+    __slots__ = ("parser",)
+
+    def __init__(self) -> None:
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
+
+    def feed(self, data: bytes) -> None:
+        self.parser.receive_data(data)
+
+    def next(self):
+        """The next event of the request, h11.NEED_DATA or h11.PAUSED."""
+        try:
+            return self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            status = status if status in (413, 431, 501) else 400
+            raise BadRequest(status, f"malformed HTTP: {error}") from None
+
+    def whole(self, reply: Reply, close: bool) -> bytes:
+        """A reply with its length, as bytes."""
+        headers = [("Content-Type", reply.content_type), ("Content-Length", str(len(reply.body)))]
+        head = self.head(reply.status, headers + reply.headers, close)
+        return head + (self.parser.send(h11.Data(data=reply.body)) or b"") \
+            + (self.parser.send(h11.EndOfMessage()) or b"")
+
+    def head(self, status: int, headers: list[tuple[str, str]], close: bool) -> bytes:
+        if close:
+            headers = [*headers, ("Connection", "close")]
+        return self.parser.send(h11.Response(status_code=status, headers=headers))
+
+    @property
+    def reusable(self) -> bool:
+        return self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
+
+    @property
+    def can_answer(self) -> bool:
+        return self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+
+class ClientSide:
+    """One exchange after another on a connection to a destination or to discovery."""
+
+    __slots__ = ("connection", "parser")
+
+    def __init__(self, connection: Connection):
+        self.connection = connection
+        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+
+    def encode(self, method: str, target: str, headers: list[tuple], body: bytes = b"") -> bytes:
+        if self.parser.our_state is h11.DONE:
+            self.parser.start_next_cycle()
+        send = self.parser.send
+        data = send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            data += send(h11.Data(data=body))
+        return data + (send(h11.EndOfMessage()) or b"")
+
+    async def event(self):
+        """The next event of the answer. Raises h11.RemoteProtocolError, OSError or PeerEnded."""
+        while True:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.connection.receive()
+                if not data and not self._until_close():
+                    raise PeerEnded
+                self.parser.receive_data(data)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise PeerEnded
+            else:
+                return event
+
+    def _until_close(self) -> bool:
+        """h11 itself takes the end of the stream as the body's end only where the framing says so."""
+        return self.parser.their_state is h11.SEND_BODY and self.parser.their_http_version == b"1.0"
+
+    async def response(self) -> h11.Response:
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.Response):
+                return event
+
+    async def body(self, most: int = MAX_BODY) -> bytes:
+        parts = bytearray()
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(parts)
+            parts += event.data
+            if len(parts) > most:
+                raise h11.RemoteProtocolError("body too long")
+
+    def settled(self) -> bool:
+        """Whether the exchange is over on both sides, so that the connection can carry another."""
+        parser = self.parser
+        while parser.their_state is h11.SEND_BODY:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                if self.connection.closed or not self.connection.fill_now():
+                    return False
+                parser.receive_data(self.connection.inbound.take())
+        return parser.our_state is h11.DONE and parser.their_state is h11.DONE \
+            and not parser.trailing_data[0]
--- /dev/null
+++ b/yewrill/net/listener.py
@@ -0,0 +1,287 @@
+"""The listening side: client connections, their requests one after another, and the end of it all."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import h11
+import trio
+
+from yewrill.facade import Operation
+from yewrill.net.connection import Connection, Quiet
+from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request, ServerSide
+
+log = logging.getLogger("yewrill.clients")
+
+BACKLOG = 1024
+REQUEST_TIME = 10.0  # seconds from a request's first byte to its last
+SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
+SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Client:
+    """A client's connection, read ahead so that its end is seen while an operation is under way."""
+
+    def __init__(self, connection: Connection):
+        self.connection = connection
+        self.http = ServerSide()
+        self.operation: Operation | None = None
+        self.on_left: Callable[[Operation], None] = lambda operation: None
+        self.gone = False
+        self.idle = True  # between requests
+        self.idle_since = trio.current_time()
+        self.first_byte = 0.0
+        self._news = trio.Event()
+        self._space = trio.Event()
+
+    async def read_ahead(self) -> None:
+        ring = self.connection.inbound
+        try:
+            while not self.gone:
+                if not ring.room:
+                    self._space = trio.Event()
+                    await self._space.wait()
+                    continue
+                if not await self.connection.fill():
+                    break
+                if self.idle and not self.first_byte:
+                    self.first_byte = trio.current_time()
+                self._news.set()
+        except OSError:
+            pass
+        self.leave()
+
+    def leave(self) -> None:
+        """The client has gone away, or is being let go."""
+        if not self.gone:
+            self.gone = True
+            if self.operation is not None:
+                self.on_left(self.operation)
+            self.connection.close()
+            self._news.set()
+
+    async def readable(self) -> None:
+        """Wait until bytes have come or the client is gone."""
+        while not len(self.connection.inbound) and not self.gone:
+            self._news = trio.Event()
+            await self._news.wait()
+
+    async def receive(self) -> bytes:
+        """The next bytes; empty once the client is gone."""
+        await self.readable()
+        if self.gone:
+            return b""
+        data = self.connection.inbound.take()
+        self._space.set()
+        return data
+
+    async def request(self) -> Request | None:
+        """The next whole request; None when the client has gone. Raises BadRequest."""
+        request: Request | None = None
+        body = bytearray()
+        while True:
+            event = self.http.next()
+            if event is h11.NEED_DATA:
+                if request is not None and self.http.parser.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=())
+                    await self.connection.send(self.http.parser.send(go_on))
+                data = await self.receive()
+                if not data:
+                    return None
+                self.idle = False
+                self.http.feed(data)
+            elif isinstance(event, h11.Request):
+                self.idle = False
+                request = Request(event.method.decode("ascii"), event.target.decode("ascii"),
+                                  list(event.headers), arrived=self.first_byte or trio.current_time())
+                lengths = [value for name, value in event.headers if name == b"content-length"]
+                if lengths and int(lengths[0]) > MAX_BODY:
+                    raise BadRequest(413, "body over 64 KiB")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY:
+                    raise BadRequest(413, "body over 64 KiB")
+            elif isinstance(event, h11.EndOfMessage):
+                request.body = bytes(body)
+                return request
+            else:  # h11.ConnectionClosed or PAUSED: no request can follow
+                return None
+
+    def next_cycle(self) -> None:
+        self.http.parser.start_next_cycle()
+        self.idle = True
+        self.idle_since = trio.current_time()
+        # What has been read ahead already is the next request: its time runs from now at the latest.
+        self.first_byte = self.idle_since if len(self.connection.inbound) else 0.0
+
+    async def send(self, data: bytes) -> bool:
+        """Write, within a limit of time; False if the client is gone or does not take it."""
+        if self.gone:
+            return False
+        with trio.move_on_after(SEND_TIME) as scope:
+            try:
+                await self.connection.send(data)
+            except OSError:
+                return False
+        return not scope.cancelled_caught
+
+
+Handler = Callable[[Client, Request], Awaitable[bool]]
+
+
+class Listener:
+    """Accepts clients within a bound and serves each until it or the program ends."""
+
+    def __init__(self, address: tuple[str, int], handler: Handler, most: int):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self._handler = handler
+        self._most = most
+        self.clients: set[Client] = set()
+        self._freed = trio.Event()
+        self._short = False  # the last accept found no descriptor
+        self._nursery: trio.Nursery
+        self.stopping = False  # the listener is closed: idle connections go
+
+    async def run(self) -> None:
+        """Accept until `close`, then return once every client is done with."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while not self.stopping:
+                try:
+                    await trio.lowlevel.wait_readable(self.sock)
+                except trio.ClosedResourceError:
+                    break
+                await self._accept_some()
+
+    async def _accept_some(self) -> None:
+        while not self.stopping:
+            if len(self.clients) >= self._most and not self._evict():
+                log.warning("clients-full open=%d: new ones wait in the backlog", len(self.clients))
+                self._freed = trio.Event()
+                await self._freed.wait()
+                continue
+            if not self._accept_one():
+                if self._short:
+                    self._short = False
+                    await trio.sleep(SHORT_PAUSE)
+                return
+            if len(self.clients) % 16 == 0:
+                await trio.lowlevel.checkpoint()
+
+    def _accept_one(self) -> bool:
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            if error.errno in NO_DESCRIPTORS:
+                # Out of descriptors: those who wait stay in the backlog; the busy ones go on.
+                log.warning("no-descriptors clients=%d: %s", len(self.clients), error.strerror)
+                self._evict()
+                self._short = True
+                return False
+            log.warning("accept-failed: %s", error)  # the client was gone before we came to it
+            return True
+        client = Client(Connection(sock))
+        self.clients.add(client)
+        self._nursery.start_soon(self._serve, client)
+        return True
+
+    def _evict(self) -> bool:
+        """Close the client connection that has stood idle longest, as the protocol allows."""
+        idle = min((c for c in self.clients if c.idle and not len(c.connection.inbound)),
+                   key=lambda c: c.idle_since, default=None)
+        if idle is None:
+            return False
+        idle.leave()
+        self._forget(idle)
+        return True
+
+    def _forget(self, client: Client) -> None:
+        self.clients.discard(client)
+        self._freed.set()
+
+    def close(self) -> None:
+        """Take what the backlog still holds, close the listener, let idle clients go."""
+        self.stopping = True
+        # A bound is kept all the same: whoever is left in the backlog is reset and tries elsewhere.
+        while len(self.clients) < self._most and self._accept_one():
+            pass
+        trio.lowlevel.notify_closing(self.sock)
+        self.sock.close()
+        self._freed.set()
+        for client in list(self.clients):
+            self._let_go(client)
+
+    def _let_go(self, client: Client) -> None:
+        # A request that has come but was not read yet is served first.
+        if client.idle and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
+            client.leave()
+
+    async def _serve(self, client: Client) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client.read_ahead)
+                try:
+                    await self._converse(client)
+                finally:
+                    nursery.cancel_scope.cancel()
+        except Exception:
+            log.exception("client-fault")
+        finally:
+            client.leave()
+            self._forget(client)
+
+    async def _converse(self, client: Client) -> None:
+        while True:
+            try:
+                request = await self._next_request(client)
+                if request is None:
+                    return
+                go_on = await self._handler(client, request)
+            except BadRequest as bad:
+                if client.gone or not client.http.can_answer:
+                    return
+                reply = Reply(bad.status, bad.text.encode() + b"\n", list(bad.headers))
+                await client.send(client.http.whole(reply, close=True))
+                await self._part(client)
+                return
+            except Exception:
+                # A fault in one exchange must lose neither the program nor this client's answer.
+                log.exception("exchange-fault")
+                if not client.gone and client.http.can_answer:
+                    await client.send(client.http.whole(Reply(500, b"internal fault\n"), close=True))
+                return
+            if client.gone:
+                return
+            if not go_on or not client.http.reusable:
+                await self._part(client)
+                return
+            client.next_cycle()
+            if self.stopping:
+                self._let_go(client)
+
+    async def _next_request(self, client: Client) -> Request | None:
+        if not client.http.parser.trailing_data[0]:
+            await client.readable()
+        with trio.move_on_after(REQUEST_TIME):
+            return await client.request()
+        raise BadRequest(408, "the request took too long")
+
+    async def _part(self, client: Client) -> None:
+        """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets."""
+        with suppress(OSError):
+            client.connection.sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(0.5):
+            while not client.gone and await client.receive():
+                pass
--- /dev/null
+++ b/yewrill/net/poolconfig.py
@@ -0,0 +1,104 @@
+"""The pool config as this dispatcher holds it, and the watch that keeps it fresh."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import trio
+import ujson
+
+from yewrill import interface as api
+from yewrill.config import ConfigError, Places, read_destinations
+from yewrill.facade import Decisions, Destination
+from yewrill.net.connection import Connection
+from yewrill.net.http import ClientSide, PeerEnded
+
+log = logging.getLogger("yewrill.discovery")
+
+PATH = "/discovery/hosts"
+HOLD_MS = 5000  # short, so that a watch that has silently broken is noticed before it matters
+PATIENCE = 1.0  # seconds past the hold (or for a plain call) before discovery counts as silent
+RETRY = 0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
+MOST = 4 * 1024 * 1024  # a list of some ten thousand destinations
+
+
+class PoolConfig:
+    """The destinations known now; every change goes to the module too."""
+
+    def __init__(self, decisions: Decisions, places: Places):
+        self._decisions = decisions
+        self._places = places
+        self._known: dict[str, Destination] = {}
+        self.version = 0
+        self.on_change: Callable[[Destination | None, str], None] = lambda destination, name: None
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def get(self, name: str) -> Destination | None:
+        return self._known.get(name)
+
+    def may_send(self, name: str) -> bool:
+        """Whether new work may still go there: not once it drains or is gone."""
+        destination = self._known.get(name)
+        return destination is not None and destination.state == api.RUNNING
+
+    def apply(self, answer: dict[str, Any], cached: bool = False) -> None:
+        """Take an answer of discovery's. Raises ConfigError on nonsense, leaving the list as it was."""
+        destinations = read_destinations(answer, "discovery", self._places)
+        version, full = answer["version"], cached or bool(answer.get("full"))
+        before = dict(self._known)
+        if full:
+            self._known = {}
+        for destination in destinations:
+            if destination.state == api.GONE:
+                self._known.pop(destination.id, None)
+            else:
+                self._known[destination.id] = destination
+        self.version = version
+        for name in before.keys() | self._known.keys():
+            now = self._known.get(name)
+            if now != before.get(name):
+                self.on_change(now, name)
+        if full or destinations:
+            self._decisions.pool_config(destinations, full=full, cached=cached)
+
+
+async def watch(address: tuple[str, int], pool: PoolConfig) -> None:
+    """Keep the pool config fresh for good. Discovery may be silent, gone or talk nonsense meanwhile."""
+    side: ClientSide | None = None
+    whole = True  # the list known at start may be old: begin with all of it
+    quiet = False
+    while True:
+        try:
+            with trio.fail_after(PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
+                if side is None:
+                    side = ClientSide(await Connection.open(address, ring=65536))
+                target = PATH if whole else f"{PATH}?from={pool.version}&hold_ms={HOLD_MS}"
+                await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
+                response = await side.response()
+                body = await side.body(MOST)
+            if response.status_code != 200:
+                raise ConfigError(f"discovery: status {response.status_code}")
+            answer = ujson.loads(body)
+            pool.apply(answer)
+            whole = False
+            if quiet:
+                log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
+                quiet = False
+            if not side.settled():
+                side.connection.close()
+                side = None
+        except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError, trio.TooSlowError) as error:
+            if not quiet:
+                log.warning("discovery-lost version=%d: %s %s", pool.version, type(error).__name__, error)
+                quiet = True
+            if isinstance(error, (ConfigError, ValueError)):
+                whole = True  # nonsense among the changes: only the whole list can be trusted again
+            if side is not None:
+                side.connection.close()
+                side = None
+            await trio.sleep(RETRY)
--- /dev/null
+++ b/yewrill/net/ring.py
@@ -0,0 +1,60 @@
+"""A ring buffer of fixed size: a connection has one for each direction."""
+
+from __future__ import annotations
+
+
+class RingBuffer:
+    """Bytes between a socket and its reader or writer. It never grows."""
+
+    __slots__ = ("_data", "_view", "_head", "_size")
+
+    def __init__(self, capacity: int):
+        self._data = bytearray(capacity)
+        self._view = memoryview(self._data)
+        self._head = 0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def room(self) -> int:
+        return len(self._data) - self._size
+
+    def space(self) -> memoryview:
+        """The next free stretch, to be filled and then counted by `filled`."""
+        capacity = len(self._data)
+        tail = (self._head + self._size) % capacity
+        return self._view[tail:tail + min(self.room, capacity - tail)]
+
+    def filled(self, count: int) -> None:
+        self._size += count
+
+    def pending(self) -> memoryview:
+        """The oldest stretch of bytes, to be used and then dropped by `used`."""
+        return self._view[self._head:self._head + min(self._size, len(self._data) - self._head)]
+
+    def used(self, count: int) -> None:
+        self._size -= count
+        self._head = (self._head + count) % len(self._data) if self._size else 0
+
+    def put(self, data: bytes | memoryview) -> int:
+        """Copy in as much as fits; returns how much that was."""
+        done = 0
+        while done < len(data) and self.room:
+            space = self.space()
+            count = min(len(space), len(data) - done)
+            space[:count] = data[done:done + count]
+            self.filled(count)
+            done += count
+        return done
+
+    def take(self) -> bytes:
+        """Everything in it."""
+        first = bytes(self.pending())
+        self.used(len(first))
+        if self._size:
+            second = bytes(self.pending())
+            self.used(len(second))
+            return first + second
+        return first
--- /dev/null
+++ b/yewrill/service.py
@@ -0,0 +1,128 @@
+"""The whole program: configuration in, listener, core, destinations and discovery running, until SIGTERM."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import sys
+
+import trio
+
+from yewrill.config import Config
+from yewrill.core import carry
+from yewrill.facade import Decisions
+from yewrill.fronts.platform import PlatformFront, Reader
+from yewrill.net.destinations import DestinationPool
+from yewrill.net.http import BadRequest, Reply, Request
+from yewrill.net.listener import Client, Listener
+from yewrill.net.poolconfig import PoolConfig, watch
+
+log = logging.getLogger("yewrill")
+
+READY_PATH = "/up"
+# Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
+CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
+
+
+class Service:
+    def __init__(self, config: Config):
+        self.config = config
+        self.draining = False
+        self.decisions = Decisions(config.settings, config.seed)
+        self.pool = PoolConfig(self.decisions, config.places)
+        self.front = PlatformFront(Reader(config.settings, config.answer_margin_ms))
+        sockets = config.limits.sockets - SPARE
+        self.destinations = DestinationPool(
+            self.decisions, self.pool, self.front, most=int(sockets * DESTINATION_PART),
+            connect_timeout=config.connect_timeout_ms / 1000.0, idle_limit=config.idle_close_ms / 1000.0)
+        self.listener = Listener(config.listen, self._handle, int(sockets * CLIENT_PART))
+
+    async def run(self, *, signals: bool = True,
+                  task_status: trio.TaskStatus[Service] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until SIGTERM (or `drain`), then finish what was taken and return."""
+        if self.config.known is not None:
+            self.pool.apply(dict(self.config.known), cached=True)
+        self.decisions.tick()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.decisions.run, self.destinations.probe)
+            nursery.start_soon(watch, self.config.discovery, self.pool)
+            nursery.start_soon(self.destinations.keep_tidy)
+            if signals:
+                await nursery.start(self._on_signal, nursery)
+            log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
+                     *self.listener.address, self.config.front, len(self.pool))
+            task_status.started(self)
+            # What start-up left behind stays for good: the collector need not look at it again.
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(20_000, 20, 50)
+            await self.listener.run()
+            log.info("drained")
+            nursery.cancel_scope.cancel()
+        self.destinations.close()
+
+    async def _on_signal(self, nursery: trio.Nursery,
+                         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            task_status.started()
+            async for number in received:
+                if not self.draining:
+                    log.info("draining signal=%s clients=%d", signal.Signals(number).name,
+                             len(self.listener.clients))
+                    nursery.start_soon(self.drain)
+
+    async def drain(self) -> None:
+        """Stop being ready, take what still comes for a while, then close the listener."""
+        self.draining = True
+        await trio.sleep(self.config.linger_ms / 1000.0)
+        self.listener.close()
+
+    # -- one exchange
+
+    async def _handle(self, client: Client, request: Request) -> bool:
+        """Answer one request. Whether the connection may carry another."""
+        path = request.target.partition("?")[0]
+        if path == READY_PATH:
+            if request.method != "GET":
+                raise BadRequest(405, "GET only", (("Allow", "GET"),))
+            reply = self._ready()
+        else:
+            now = self.decisions.now() - (trio.current_time() - request.arrived) * 1000.0
+            operation = self.front.reader.operation(request, now)
+            client.operation, client.on_left = operation, self.decisions.left
+            try:
+                answer = await carry(operation, self.decisions, self.destinations.attempt)
+            finally:
+                client.operation = None
+            if answer is None or client.gone:
+                return False
+            reply = self.front.reply(answer)
+        close = self.draining
+        return await client.send(client.http.whole(reply, close)) and not close
+
+    def _ready(self) -> Reply:
+        if self.draining:
+            return Reply(503, b"draining\n")
+        if not len(self.pool):
+            return Reply(503, b"no pool config yet\n")
+        return Reply(200, b"up\n")
+
+
+def serve(config: Config, level: str = "INFO") -> int:
+    """Run the service in the foreground; its log goes to standard error."""
+    logging.basicConfig(stream=sys.stderr, level=level,
+                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    try:
+        service_run(config)
+    except OSError as error:
+        log.error("can't-start: %s", error)
+        return 1
+    return 0
+
+
+def service_run(config: Config) -> None:
+    async def main() -> None:
+        await Service(config).run()
+
+    trio.run(main)
--- a/dunepin/wire.py
+++ b/yewrill/wire.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from dunepin import interface as api
+from yewrill import interface as api
 
 
 class WireError(Exception):
