Second front: progress as server-sent events on the same core, with stories for both fronts

The core, the module and the endings are the platform front's; fronts/progress.py only reads and writes the event stream. A client's outlet holds the latest progress alone, so a slow reader holds no memory; progress of an attempt that is no longer the live one is dropped. 2,400 streams over loopback with deaths, leavers and refusals count one final event each and none after the drain.

Also seen in the stories: a connection whose answer ended one read later was opened anew for the next job (destinations.py, _give_back); the pool now looks at such connections before it opens another. A wait on a socket that another task closes raised ClosedResourceError, which was logged as a fault; it is an OSError now.

--- /dev/null
+++ b/tests/helper.py
@@ -0,0 +1,264 @@
+"""Scripted peers on loopback sockets, and a whole service between them."""
+
+from __future__ import annotations
+
+import functools
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+import h11
+import trio
+import ujson
+
+from yewrill.config import read_config
+from yewrill.service import Service
+
+SETTINGS = {
+    "areas": ["room"], "kinds": ["std"], "instances": 1, "tick": 2.0, "counted_by": "work",
+    "limits": {"try_limit": 4, "connect_timeout": 150.0, "idle_close": 10000.0, "max_retry_after": 2000.0,
+               "retry_after": True, "may_probe": False, "cancel": True},
+    "specifics": {"tells_start": False, "progress": 1000.0},
+    "rules": {"answer_slack": 8.0, "fall": 3000.0, "fall_multiple": 3.0, "start_capacity": 0.3,
+              "warm_after": 6000.0, "stop_sending_within": 1000.0},
+    "parties": [{"name": "acme", "quota_per_s": 100000.0, "share": 1.0}],
+    "request_classes": [
+        {"name": "tour", "aim": 200.0, "deadline": 3000.0, "repeat": "pure", "value": 1.0},
+        {"name": "save", "aim": 200.0, "deadline": 3000.0, "repeat": "token", "group": "cell",
+         "window": 5000.0, "value": 1.0},
+        {"name": "once", "aim": 200.0, "deadline": 3000.0, "repeat": "side_effect", "value": 1.0},
+    ],
+}
+
+
+def story(test: Callable[..., Awaitable[None]]):
+    """A test told in trio, with a limit of time."""
+    @functools.wraps(test)
+    def run(**given):
+        async def limited():
+            with trio.fail_after(20):
+                await test(**given)
+        trio.run(limited)
+    return run
+
+
+class Exchange:
+    """One request as a scripted destination got it, and the ways to treat it."""
+
+    def __init__(self, stream: trio.SocketStream, request: h11.Request, body: bytes, number: int, front: str):
+        self.stream, self.body, self.number, self.front = stream, body, number, front
+        self.target = request.target.decode()
+        self.headers = {k.decode(): v.decode() for k, v in request.headers}
+        self.id = self.headers.get("x-request-id", "")
+        self.begun = False
+
+    async def say(self, state: str, **more) -> None:
+        line = ujson.dumps({"id": self.id, "from": "d", "state": state, **more})
+        await self.raw(f"data: {line}\n\n" if self.front == "progress" else line + "\n")
+
+    async def raw(self, text: str) -> None:
+        kind = "text/event-stream" if self.front == "progress" else "application/json"
+        head = "" if self.begun else \
+            f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.begun = True
+        await self.stream.send_all(f"{head}{len(text.encode()):x}\r\n{text}\r\n".encode())
+
+    async def done(self, result="profile") -> None:
+        await self.say("done", result=result)
+        await self.stream.send_all(b"0\r\n\r\n")
+
+    async def status(self, code: int, *headers: str) -> None:
+        lines = "".join(f"{h}\r\n" for h in headers)
+        await self.stream.send_all(f"HTTP/1.1 {code} X\r\n{lines}Content-Length: 0\r\n\r\n".encode())
+
+    async def closed(self) -> None:
+        """Wait until the dispatcher gives this connection up."""
+        with suppress(trio.BrokenResourceError):
+            while await self.stream.receive_some():
+                pass
+
+    def reset(self) -> None:
+        self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.stream.socket.close()
+
+
+Script = Callable[[Exchange], Awaitable[None]]
+
+
+@dataclass
+class Peer:
+    """A scripted destination."""
+
+    name: str
+    script: Script
+    front: str = "platform"
+    cell: int = 0
+    state: str = "SERVING"
+    exchanges: list[Exchange] = field(default_factory=list)
+    connections: int = 0
+    live: set = field(default_factory=set)
+    port: int = 0
+
+    async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._converse, listeners, task_status=task_status)
+
+    async def _converse(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        self.live.add(stream)
+        parser = h11.Connection(h11.SERVER)
+        with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            while True:
+                request, body = None, b""
+                while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+                    if event is h11.NEED_DATA:
+                        parser.receive_data(data := await stream.receive_some())
+                        if not data:
+                            raise trio.BrokenResourceError
+                    elif isinstance(event, h11.Request):
+                        request = event
+                    elif isinstance(event, h11.Data):
+                        body += event.data
+                exchange = Exchange(stream, request, body, len(self.exchanges), self.front)
+                self.exchanges.append(exchange)
+                await self.script(exchange)
+                parser = h11.Connection(h11.SERVER)
+        self.live.discard(stream)
+        await trio.aclose_forcefully(stream)
+
+    def entry(self) -> dict:
+        return {"id": self.name, "addr": f"127.0.0.1:{self.port}", "zone": "room", "kind": "std",
+                "cell": self.cell, "state": self.state, "weight": 1.0, "started_ms": 0}
+
+
+class Discovery:
+    """A stand-in for discovery: whole lists, and watches that wait for the next change."""
+
+    def __init__(self, peers: list[Peer]):
+        self.peers, self.version, self.calls = peers, 1, []
+        self.changed, self.changes = trio.Event(), []
+        self.port = 0
+        self.silent = False
+
+    def answer(self, full: bool, servers: list[dict]) -> bytes:
+        body = ujson.dumps({"version": self.version, "full": full, "servers": servers}).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+    def tell(self, *entries: dict, full: bool = False) -> None:
+        self.version += 1
+        self.changes.append((full, list(entries)))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def script(self, exchange: Exchange) -> None:
+        self.calls.append((trio.current_time(), exchange.target))
+        if self.silent:
+            await exchange.closed()
+        elif "from=" not in exchange.target:
+            await exchange.stream.send_all(self.answer(True, [p.entry() for p in self.peers]))
+        else:
+            known = int(exchange.target.partition("from=")[2].partition("&")[0])
+            while known >= self.version:
+                await self.changed.wait()
+            full, entries = self.changes[-1]
+            await exchange.stream.send_all(self.answer(full, entries))
+
+
+@dataclass
+class Reply:
+    status: int
+    headers: dict
+    body: bytes
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, stream: trio.SocketStream):
+        self.stream = stream
+        self.parser = h11.Connection(h11.CLIENT)
+
+    async def send(self, target: str = "/tour", method: str = "POST", body: bytes = b"{}", **headers) -> None:
+        given = {"X-Request-ID": "r1", "X-Tenant-Id": "acme", "X-Timeout-Ms": "2000", **{
+            k.replace("_", "-"): v for k, v in headers.items()}}
+        lines = "".join(f"{k}: {v}\r\n" for k, v in given.items() if v is not None)
+        self.parser.send(h11.Request(method=method, target=target, headers=[("Host", "x")]))
+        self.parser.send(h11.EndOfMessage())
+        lines += f"Content-Length: {len(body)}\r\n"
+        await self.stream.send_all(f"{method} {target} HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode() + body)
+
+    async def event(self):
+        while (event := self.parser.next_event()) is h11.NEED_DATA:
+            self.parser.receive_data(await self.stream.receive_some())
+        return event
+
+    async def reply(self) -> Reply:
+        head, body = await self.event(), b""
+        while not isinstance(event := await self.event(), h11.EndOfMessage):
+            body += event.data
+        if self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
+            self.parser.start_next_cycle()
+        return Reply(head.status_code, {k.decode(): v.decode() for k, v in head.headers}, body)
+
+    async def ask(self, *args, **kwargs) -> Reply:
+        await self.send(*args, **kwargs)
+        return await self.reply()
+
+
+class World:
+    def __init__(self, service: Service, discovery: Discovery, nursery: trio.Nursery):
+        self.service, self.discovery, self.nursery = service, discovery, nursery
+        self.ended = trio.Event()
+
+    async def client(self) -> Client:
+        return Client(await trio.open_tcp_stream(*self.service.listener.address))
+
+    async def ask(self, *args, **kwargs) -> Reply:
+        client = await self.client()
+        try:
+            return await client.ask(*args, **kwargs)
+        finally:
+            await client.stream.aclose()
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        """Wait for something that a peer or the service is about to do."""
+        while not true():
+            await trio.sleep(0.002)
+
+
+@asynccontextmanager
+async def world(*peers: Peer, settings: dict | None = None, **config):
+    """A service between scripted peers, its ports given by the system."""
+    async with trio.open_nursery() as nursery:
+        for peer in peers:
+            peer.front = config.get("front", "platform")
+            await nursery.start(peer.serve)
+        discovery = Discovery(list(peers))
+        teller = Peer("discovery", discovery.script)
+        await nursery.start(teller.serve)
+        discovery.port = teller.port
+        raw = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{teller.port}",
+               "known": {"version": 1, "full": True, "servers": [p.entry() for p in peers]},
+               "settings": {**SETTINGS, **(settings or {})}, "seed": "5", **config}
+        service = Service(read_config(raw))
+        here = World(service, discovery, nursery)
+
+        async def run(*, task_status=trio.TASK_STATUS_IGNORED) -> None:
+            await service.run(signals=False, task_status=task_status)
+            here.ended.set()
+
+        await nursery.start(run)
+        await here.until(lambda: any("from=" in target for _, target in discovery.calls))
+        yield here
+        nursery.cancel_scope.cancel()
+
+
+async def done(exchange: Exchange) -> None:
+    await exchange.done()
+
+
+async def hang(exchange: Exchange) -> None:
+    await exchange.closed()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,355 @@
+"""Stories of the platform's front, each told over loopback sockets against scripted peers."""
+
+import errno
+import socket
+
+import pytest
+import trio
+from helper import SETTINGS, Peer, done, hang, story, world
+
+from yewrill import interface as api
+from yewrill.facade import Decisions
+
+
+@story
+async def test_a_job_is_passed_on_whole_and_its_result_is_the_body():
+    peer = Peer("d1", done)
+    async with world(peer) as w:
+        client = await w.client()
+        for i in range(3):
+            reply = await client.ask("/tour/a?b=%20c", body=b"route", X_Request_ID=f"r{i}",
+                                     Idempotency_Key="k1", Cookie="user=7")
+            assert (reply.status, reply.body) == (200, b"profile")
+        seen = peer.exchanges[-1]
+        assert (seen.target, seen.body, seen.id) == ("/tour/a?b=%20c", b"route", "r2")
+        assert seen.headers["idempotency-key"] == "k1" and seen.headers["cookie"] == "user=7"
+        assert 0 < int(seen.headers["x-timeout-ms"]) < 2000
+        assert peer.connections == 1  # kept between jobs
+
+
+def failing_once(failure):
+    async def script(exchange):
+        if exchange.headers["x-request-id"] == "r1" and not script.failed:
+            script.failed = True
+            await failure(exchange)
+        else:
+            await exchange.done()
+    script.failed = False
+    return script
+
+
+async def dies(exchange):
+    await exchange.say("started")
+    exchange.reset()
+
+
+async def lost(exchange):
+    await exchange.say("lost")
+
+
+async def other_id(exchange):
+    await exchange.say("done", id="r9", result="another's")
+
+
+async def nonsense(exchange):
+    await exchange.raw("{]\n")
+
+
+async def endless(exchange):
+    while True:
+        await exchange.raw("x" * 9000)
+
+
+async def not_http(exchange):
+    await exchange.stream.send_all(b"\x00\x01 what\r\n\r\n")
+
+
+async def returned(exchange):
+    await exchange.status(503, "X-Not-Processed: 1")
+
+
+async def handed_back(exchange):
+    await exchange.say("returned")
+
+
+async def error(exchange):
+    await exchange.status(500)
+
+
+async def plain_503(exchange):
+    await exchange.status(503)
+
+
+@pytest.mark.parametrize("failure, never_ran", [
+    (dies, False), (lost, False), (other_id, False), (nonsense, False), (endless, False), (not_http, False),
+    (error, False), (plain_503, False), (returned, True), (handed_back, True),
+])
+@story
+async def test_what_may_have_run_is_sent_again_only_as_its_class_allows(failure, never_ran):
+    for target, again in (("/tour", True), ("/once", never_ran)):
+        script = failing_once(failure)
+        peers = [Peer("d1", script), Peer("d2", script)]
+        async with world(*peers) as w:
+            reply = await w.ask(target)
+            assert reply.status == (200 if again else 502)
+            assert sum(len(p.exchanges) for p in peers) == (2 if again else 1)
+
+
+@story
+async def test_a_refused_connection_never_ran_so_any_class_is_tried_elsewhere():
+    dead, alive = Peer("d0", done), Peer("d1", done)
+    async with world(dead, alive) as w:
+        with socket.socket() as unused:  # a port that nobody listens on
+            unused.bind(("127.0.0.1", 0))
+            w.discovery.tell({**dead.entry(), "addr": f"127.0.0.1:{unused.getsockname()[1]}"})
+            await w.until(lambda: w.service.pool.version == 2)
+            for i in range(6):
+                assert (await w.ask("/once", X_Request_ID=f"r{i}")).status == 200
+        assert not dead.exchanges and len(alive.exchanges) == 6
+
+
+@story
+async def test_a_silent_destination_is_given_up_before_the_client_is():
+    gone = trio.Event()
+
+    async def silent(exchange):
+        await exchange.closed()
+        gone.set()
+
+    async with world(Peer("d1", silent), timing={"answer_margin_ms": 400}) as w:
+        began = trio.current_time()
+        reply = await w.ask(X_Timeout_Ms="900")
+        assert reply.status == 502 and 0.4 < trio.current_time() - began < 0.9
+        await gone.wait()
+
+
+@story
+async def test_a_client_that_leaves_stops_the_retry_that_is_pending():
+    peers = [Peer("d1", hang), Peer("d2", hang)]
+    async with world(*peers) as w:
+        client = await w.client()
+        await client.send(X_Timeout_Ms="600")
+        await w.until(lambda: any(p.exchanges for p in peers))
+        await client.stream.aclose()
+        await w.until(lambda: not w.service.listener.clients)
+        for peer in peers:
+            for stream in list(peer.live):
+                await trio.aclose_forcefully(stream)  # the attempt dies: no second one may follow
+        for peer in peers:
+            peer.script = done
+        assert (await w.ask(X_Request_ID="r2")).status == 200
+        assert [e.id for p in peers for e in p.exchanges if e.id == "r1"] == ["r1"]
+
+
+@story
+async def test_a_job_that_no_destination_can_take_is_refused_at_once_with_advice():
+    async with world(Peer("d1", done)) as w:
+        w.discovery.tell(full=True)  # a whole list that omits every destination removes it
+        await w.until(lambda: len(w.service.pool) == 0)
+        began = trio.current_time()
+        replies = []
+        async with trio.open_nursery() as nursery:
+            async def one():
+                replies.append(await w.ask(X_Timeout_Ms="300"))
+            nursery.start_soon(one)
+        assert replies[0].status == 503 and replies[0].headers["retry-after"] == "2"
+        assert trio.current_time() - began < 0.3
+
+
+@story
+async def test_a_draining_destination_gets_nothing_new_and_its_idle_connections_are_closed():
+    peers = [Peer("d1", done), Peer("d2", done)]
+    async with world(*peers) as w:
+        for i in range(8):
+            await w.ask(X_Request_ID=f"a{i}")
+        used = max(peers, key=lambda p: len(p.exchanges))
+        assert used.live
+        w.discovery.tell({**used.entry(), "state": "DRAINING"})
+        await w.until(lambda: not used.live)
+        before = len(used.exchanges)
+        for i in range(8):
+            assert (await w.ask(X_Request_ID=f"b{i}")).status == 200
+        assert len(used.exchanges) == before
+
+
+@story
+async def test_the_watch_goes_on_at_once_and_outlives_a_silent_discovery(monkeypatch):
+    from yewrill.net import poolconfig
+    monkeypatch.setattr(poolconfig, "PATIENCE", 0.1)
+    monkeypatch.setattr(poolconfig, "HOLD_MS", 100)
+    peer = Peer("d1", done)
+    async with world(peer) as w:
+        calls = w.discovery.calls
+        await w.until(lambda: len(calls) >= 2)
+        w.discovery.tell(peer.entry())
+        told = trio.current_time()
+        await w.until(lambda: len(calls) >= 3 and w.service.pool.version == 2)
+        assert calls[-1][0] - told < 0.2 and "from=2" in calls[-1][1]
+        w.discovery.silent = True
+        await w.until(lambda: len(calls) >= 6)
+        w.discovery.silent = False
+        w.discovery.tell({**peer.entry(), "state": "DRAINING"})
+        await w.until(lambda: w.service.pool.version == 3)
+
+
+@story
+async def test_a_connection_that_ended_or_bears_stray_bytes_is_not_used_again():
+    async def then_closes(exchange):
+        await exchange.done()
+        await exchange.stream.aclose()
+
+    async def then_talks(exchange):
+        await exchange.done()
+        await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\n")
+
+    for script in (then_closes, then_talks):
+        peer = Peer("d1", script)
+        async with world(peer) as w:
+            for i in range(5):
+                reply = await w.ask("/once", X_Request_ID=f"r{i}")  # a reset would fail this class
+                assert reply.status == 200
+            assert peer.connections == 5 and len(peer.exchanges) == 5
+
+
+@story
+async def test_idle_connections_are_retired_before_the_other_side_does_it():
+    peer = Peer("d1", done)
+    async with world(peer, settings={"limits": {**SETTINGS["limits"], "idle_close": 1000.0}}) as w:
+        assert (await w.ask()).status == 200
+        used = trio.current_time()
+        await w.until(lambda: not peer.live)
+        assert trio.current_time() - used < 1.0
+
+
+BAD = [
+    (dict(target="/nowhere"), 404), (dict(method="PUT"), 405), (dict(X_Priority_Class="odd"), 400),
+    (dict(X_Priority_Class="save"), 400), (dict(X_Tenant_Id="odd"), 400), (dict(X_Tenant_Id=None), 400),
+    (dict(X_Request_ID=None), 400), (dict(X_Timeout_Ms="soon"), 400), (dict(X_Timeout_Ms="-5"), 400),
+    (dict(X_Timeout_Ms="0"), 400), (dict(X_Timeout_Ms="9" * 30), 400), (dict(X_Attrs="width=nan"), 400),
+    (dict(X_Attrs="width"), 400), (dict(x_request_id="r2"), 400), (dict(body=b"x" * 65537), 413),
+    (dict(X_Filler="y" * 30000), 431), (dict(target="/up"), 405),
+]
+
+
+@pytest.mark.parametrize("given, status", BAD, ids=[str(i) for i in range(len(BAD))])
+@story
+async def test_bad_input_is_answered_before_the_core_sees_it(given, status):
+    peer = Peer("d1", done)
+    async with world(peer) as w:
+        assert (await w.ask(**given)).status == status
+        assert not peer.exchanges
+        assert (await w.ask()).status == 200
+
+
+@pytest.mark.parametrize("raw", [b"\x16\x03\x01\x02\x00\r\n\r\n", b"POST /tour HTTP/1.1\r\nHost x\r\n\r\n"])
+@story
+async def test_malformed_http_is_answered_400(raw):
+    async with world(Peer("d1", done)) as w:
+        stream = await trio.open_tcp_stream(*w.service.listener.address)
+        await stream.send_all(raw)
+        assert (await stream.receive_some()).startswith(b"HTTP/1.1 400 ")
+
+
+@story
+async def test_a_drain_finishes_what_was_taken_and_takes_what_still_comes():
+    go_on = trio.Event()
+
+    async def slow(exchange):
+        await go_on.wait()
+        await exchange.done()
+
+    async with world(Peer("d1", slow), timing={"linger_ms": 150}) as w:
+        early, idle = await w.client(), await w.client()
+        await early.send()
+        assert (await idle.ask("/up", method="GET")).status == 200
+        w.nursery.start_soon(w.service.drain)
+        await w.until(lambda: w.service.draining)
+        assert (await idle.ask("/up", method="GET")).status == 503
+        late, quiet = await w.client(), await w.client()
+        await late.send(X_Request_ID="r2")
+        assert await quiet.stream.receive_some() == b""  # an idle connection is closed with the listener
+        with pytest.raises(OSError):
+            await w.client()
+        assert not w.ended.is_set()
+        go_on.set()
+        for client in (early, late):
+            reply = await client.reply()
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+        await w.ended.wait()
+
+
+@story
+async def test_a_fault_in_the_module_or_an_attempt_costs_one_answer_only(monkeypatch):
+    async with world(Peer("d1", done)) as w:
+        handle = w.service.decisions._module.handle
+
+        def faulty(now, events):
+            if any(isinstance(e, api.JobArrived) and e.job_class == 2 for e in events):
+                raise RuntimeError("a fault for the test")
+            return handle(now, events)
+
+        monkeypatch.setattr(w.service.decisions._module, "handle", faulty)
+        assert (await w.ask("/once")).status == 502
+        assert (await w.ask("/tour")).status == 200
+        monkeypatch.setattr(w.service.front, "decoder", lambda: None)
+        assert (await w.ask("/tour", X_Timeout_Ms="200")).status in (502, 503)
+        monkeypatch.undo()
+        assert (await w.ask("/tour")).status == 200
+
+
+@story
+async def test_without_descriptors_clients_wait_and_are_served_later(monkeypatch):
+    async with world(Peer("d1", done)) as w:
+        real, failures = w.service.listener.sock, []
+
+        class Short:
+            """The listening socket, out of descriptors a few times."""
+
+            def accept(self):
+                if len(failures) < 3:
+                    failures.append(1)
+                    raise OSError(errno.EMFILE, "Too many open files")
+                return real.accept()
+
+            def __getattr__(self, name):
+                return getattr(real, name)
+
+        w.service.listener.sock = Short()
+        assert (await w.ask()).status == 200
+        assert len(failures) == 3
+
+
+@story
+async def test_client_connections_are_bounded_and_idle_ones_give_way():
+    async with world(Peer("d1", done), limits={"sockets": 80}) as w:
+        clients = []
+        for i in range(40):
+            clients.append(await w.client())
+            assert (await clients[-1].ask(X_Request_ID=f"r{i}")).status == 200
+        assert len(w.service.listener.clients) <= 22
+        assert await clients[0].stream.receive_some() == b""
+
+
+@story
+async def test_pick_report_tick_without_any_sockets():
+    settings = api.Settings(classes=[api.JobClass("c", 500.0, 1000.0)], max_attempts=2)
+    from yewrill.ending import Ending
+    from yewrill.facade import BusyReply, Destination, Operation, RouteStep
+    decisions = Decisions(settings, 1)
+    decisions.pool_config([Destination("d1", ("", 0)), Destination("d2", ("", 0))], full=True)
+    operation = Operation("r1", 0, decisions.now() + 1000.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(decisions.run, None)
+        first = await decisions.pick(operation)
+        decisions.report(first, Ending.RESET)
+        second = await decisions.pick(operation)
+        assert isinstance(second, RouteStep) and second.destination != first.destination
+        decisions.report(second, Ending.RESET)
+        assert isinstance(await decisions.pick(operation), BusyReply)  # two attempts are the most
+        nursery.cancel_scope.cancel()
+
+
+def test_every_ending_has_an_outcome_and_only_unsent_ones_prove_that_nothing_ran():
+    from yewrill.ending import Ending
+    never = {e for e in Ending if e.outcome in api.NEVER_RAN}
+    assert never == {Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT}
--- /dev/null
+++ b/tests/test_progress.py
@@ -0,0 +1,279 @@
+"""Stories of the progress front: server-sent events, and exactly one final event for each request."""
+
+import random
+import socket
+
+import pytest
+import trio
+import ujson
+from helper import Peer, done, hang, story, world
+
+from yewrill.fronts.progress import EventStreamParser, encode_event
+from yewrill.net import listener
+from yewrill.net.destinations import Garbled
+
+FINAL = {"served", "refused", "failed"}
+
+
+async def read_stream(client):
+    """A reply's status and its events, read to the end of the stream."""
+    reply = await client.reply()
+    return reply, EventStreamParser().feed(reply.body)
+
+
+async def ask(w, **given):
+    client = await w.client()
+    try:
+        await client.send(**given)
+        reply, events = await read_stream(client)
+        assert await client.stream.receive_some() == b""  # nothing follows the final event
+        return reply, events
+    finally:
+        await client.stream.aclose()
+
+
+async def climbs(exchange):
+    await exchange.say("started")
+    await exchange.say("running", share=0.4)
+    exchange.seen = trio.Event()
+    await exchange.seen.wait()
+    await exchange.done({"climb": 812})
+
+
+@story
+async def test_progress_is_passed_on_as_it_comes_and_the_answer_is_the_last_event():
+    peer = Peer("d1", climbs)
+    async with world(peer, front="progress") as w:
+        client = await w.client()
+        await client.send()
+        head = await client.event()
+        assert (head.status_code, dict(head.headers)[b"content-type"]) == (200, b"text/event-stream")
+        parser, events = EventStreamParser(), []
+        while not events:
+            events += parser.feed(bytes((await client.event()).data))
+        assert (events[0].type, ujson.loads(events[0].data)) == \
+            ("progress", {"id": "r1", "attempt": 0, "share": 0.4})
+        peer.exchanges[0].seen.set()
+        while len(events) < 2:
+            events += parser.feed(bytes((await client.event()).data))
+        assert (events[1].type, ujson.loads(events[1].data)["result"]) == ("served", {"climb": 812})
+        assert peer.exchanges[0].headers["accept"] == "text/event-stream"
+
+
+def dies_first(then):
+    """The first attempt of all peers tells of progress and dies; the next ones go on as told."""
+    async def script(exchange):
+        if script.first:
+            script.first = False
+            await exchange.say("running", share=0.9)
+            await script.passed.wait()
+            exchange.reset()
+        else:
+            await then(exchange)
+    script.first, script.passed = True, trio.Event()
+    return script
+
+
+@pytest.mark.parametrize("target, final", [("/tour", "served"), ("/once", "failed")])
+@story
+async def test_a_destination_that_dies_mid_stream_is_retried_only_as_the_class_allows(target, final):
+    script = dies_first(done)
+    peers = [Peer("d1", script), Peer("d2", script)]
+    async with world(*peers, front="progress") as w:
+        script.passed.set()
+        reply, events = await ask(w, target=target)
+        assert [e.type for e in events if e.type in FINAL] == [final] and events[-1].type == final
+        assert sum(len(p.exchanges) for p in peers) == (2 if final == "served" else 1)
+
+
+@story
+async def test_a_client_that_leaves_while_a_retry_is_pending_stops_the_retry():
+    script = dies_first(done)
+    peers = [Peer("d1", script), Peer("d2", script)]
+    async with world(*peers, front="progress") as w:
+        client = await w.client()
+        await client.send()
+        await w.until(lambda: any(p.exchanges for p in peers))
+        # The retry will find no destination, so it stays pending until its client has left.
+        w.discovery.tell(*({**p.entry(), "state": "DRAINING"} for p in peers))
+        await w.until(lambda: w.service.pool.version == 2)
+        script.passed.set()
+        await w.until(lambda: not any(p.live for p in peers))
+        await client.stream.aclose()
+        await w.until(lambda: not w.service.listener.clients)
+        w.discovery.tell(*(p.entry() for p in peers))
+        await w.until(lambda: w.service.pool.version == 3)
+        reply, events = await ask(w, X_Request_ID="r2")
+        assert events[-1].type == "served"
+        assert [e.id for p in peers for e in p.exchanges if e.id == "r1"] == ["r1"]
+
+
+@story
+async def test_the_deadline_holds_while_progress_flows():
+    async def forever(exchange):
+        while True:
+            await exchange.say("running", share=0.1)
+            await trio.sleep(0.01)
+
+    async with world(Peer("d1", forever), front="progress", timing={"answer_margin_ms": 400}) as w:
+        began = trio.current_time()
+        reply, events = await ask(w, X_Timeout_Ms="900")
+        assert trio.current_time() - began < 0.9
+        assert events[-1].type == "failed" and len(events) > 2
+        assert [e.type for e in events[:-1]] == ["progress"] * (len(events) - 1)
+
+
+@story
+async def test_a_refusal_tells_when_to_return():
+    async with world(front="progress") as w:
+        reply, events = await ask(w)
+        assert [e.type for e in events] == ["refused"]
+        assert ujson.loads(events[0].data) == {"id": "r1", "retry_after": 2.0}
+
+
+@story
+async def test_a_plain_answer_in_place_of_a_stream_ends_that_attempt_only():
+    async def plain(exchange):
+        exchange.front = "platform"
+        await exchange.done()
+
+    script_calls = []
+
+    async def script(exchange):
+        script_calls.append(exchange)
+        await (plain if len(script_calls) == 1 else done)(exchange)
+
+    async with world(Peer("d1", script), Peer("d2", script), front="progress") as w:
+        reply, events = await ask(w)
+        assert events[-1].type == "served" and len(script_calls) == 2
+
+
+@story
+async def test_a_reader_that_reconnects_is_told_to_stop_and_bad_input_gets_no_stream():
+    peer = Peer("d1", done)
+    async with world(peer, front="progress") as w:
+        assert (await w.ask(Last_Event_ID="3")).status == 204
+        assert (await w.ask(X_Timeout_Ms="x")).status == 400
+        assert not peer.exchanges
+
+
+@story
+async def test_a_slow_reader_is_dropped_without_growing_anything(monkeypatch):
+    monkeypatch.setattr(listener, "SEND_TIME", 0.3)
+
+    async def floods(exchange):
+        while True:
+            await exchange.say("running", share=0.1)
+
+    async with world(Peer("d1", floods), front="progress") as w:
+        client = await w.client()
+        await w.until(lambda: w.service.listener.clients)
+        held = next(iter(w.service.listener.clients))
+        # Small buffers in the system, and a client that never reads: the ring is all that may fill.
+        held.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await client.send(X_Timeout_Ms="15000")
+        await w.until(lambda: held.operation is not None)
+        operation = held.operation
+        await w.until(lambda: held.gone)
+        assert operation.client_left and w.service.decisions.now() < operation.deadline - 5000.0
+        assert len(held.connection.outbound) <= 8192
+        await client.stream.aclose()
+
+
+@story
+async def test_draining_new_streams_get_a_plain_503_and_the_open_ones_their_final_event():
+    peer = Peer("d1", climbs)
+    async with world(peer, front="progress", timing={"linger_ms": 100}) as w:
+        client = await w.client()
+        await client.send()
+        await w.until(lambda: peer.exchanges and hasattr(peer.exchanges[0], "seen"))
+        w.nursery.start_soon(w.service.drain)
+        await w.until(lambda: w.service.draining)
+        assert (await w.ask(X_Request_ID="r2")).status == 503
+        peer.exchanges[0].seen.set()
+        reply, events = await read_stream(client)
+        assert events[-1].type == "served"
+        await w.ended.wait()
+        assert await client.stream.receive_some() == b""
+
+
+@story
+async def test_thousands_of_streams_have_one_final_event_each_and_none_after_the_drain():
+    rng = random.Random(7)
+    total, finals, left, plain, ended = 2400, [], 0, 0, 0
+
+    async def odd(exchange):
+        """Some die mid-stream, some hand the job back, some fail; most serve."""
+        fate = rng.random()
+        if fate < 0.8:
+            await exchange.say("running", share=0.5)
+        if fate < 0.15:
+            exchange.reset()
+        elif fate < 0.2:
+            await exchange.say("returned")
+        elif fate < 0.25:
+            await exchange.say("failed")
+        else:
+            await exchange.done()
+
+    async def one(w, number, slots):
+        nonlocal left, plain
+        try:
+            client = await w.client()
+            try:
+                await client.send(rng.choice(("/tour", "/save", "/once")), X_Request_ID=f"r{number}")
+                if rng.random() < 0.1:
+                    left += 1
+                    return
+                reply, events = await read_stream(client)
+                if reply.status == 503:
+                    plain += 1
+                    return
+                assert reply.status == 200 and not w.ended.is_set()
+                assert {ujson.loads(e.data)["id"] for e in events} == {f"r{number}"}
+                assert [e.type in FINAL for e in events] == [False] * (len(events) - 1) + [True]
+                assert await client.stream.receive_some() == b""
+                finals.append(events[-1].type)
+            finally:
+                await trio.aclose_forcefully(client.stream)
+        finally:
+            slots.release()
+
+    peers = [Peer(f"d{i}", odd, cell=i % 2) for i in range(8)]
+    async with world(*peers, front="progress", timing={"linger_ms": 100}) as w:
+        slots = trio.Semaphore(40)
+        async with trio.open_nursery() as nursery:
+            for number in range(total):
+                await slots.acquire()
+                nursery.start_soon(one, w, number, slots)
+                if number == total - 20:
+                    w.nursery.start_soon(w.service.drain)
+        await w.ended.wait()
+        ended = sum(len(p.exchanges) for p in peers)
+        assert not w.service.listener.clients and w.service.decisions.pending == 0
+    assert len(finals) + left + plain == total
+    assert {"served", "failed", "refused"} <= set(finals) and left > 100
+    assert ended == sum(len(p.exchanges) for p in peers)  # nothing was sent after the drain
+
+
+def test_the_event_stream_format():
+    text = ('\ufeff: a comment\r\nevent: progress\rid: 4\r\ndata:{"a":\ndata: "ü"}\n\n'
+            "retry: 10\nodd: field\ndata\n\nevent: never\n\ndata: cut off\n").encode()
+    whole = EventStreamParser().feed(text)
+    assert [(e.type, e.data, e.id) for e in whole] == [("progress", '{"a":\n"ü"}', "4"), ("message", "", "4")]
+    pieces = EventStreamParser()
+    assert [e for i in range(len(text)) for e in pieces.feed(text[i:i + 1])] == whole
+    data = {"result": "a\r\nevent: served\n\n/", "more": [1.5]}
+    [event] = EventStreamParser().feed(encode_event("served", data, "1"))
+    assert (event.type, ujson.loads(event.data), event.id) == ("served", data, "1")
+    for flood in (b"data: " + b"x" * 70000, b"data: x\n" * 40000):
+        with pytest.raises(Garbled):
+            EventStreamParser().feed(flood)
+
+
+@story
+async def test_a_hanging_stream_without_progress_fails_before_the_client_gives_up():
+    async with world(Peer("d1", hang), front="progress", timing={"answer_margin_ms": 400}) as w:
+        reply, events = await ask(w, target="/save", X_Timeout_Ms="900")
+        assert [e.type for e in events] == ["failed"]
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -43,7 +43,7 @@
     hint: float = 0.0
     payload: Any = None
     client_left: bool = False
-    on_progress: Callable[[float], None] | None = None
+    on_progress: Callable[[RouteStep, float], None] | None = None
     # The facade's own.
     key: str = ""
     steps: int = 0
@@ -127,6 +127,11 @@
         """The event loop's time for a time of this clock."""
         return self._base + at / 1000.0
 
+    @property
+    def pending(self) -> int:
+        """Operations without their final answer."""
+        return len(self._operations)
+
     # -- what the network code calls
 
     async def pick(self, operation: Operation) -> RouteStep | BusyReply | Failure | None:
@@ -170,6 +175,8 @@
 
     def progress(self, step: RouteStep, share: float) -> None:
         self._put(api.AttemptProgress(step.operation.key, step.number, step.destination, share))
+        if step.operation.on_progress is not None:
+            step.operation.on_progress(step, share)
 
     def left(self, operation: Operation) -> None:
         """The client has gone: nothing more is owed. An attempt that is out runs on: its end tells much."""
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import ujson
@@ -12,6 +13,10 @@
 from yewrill.interface import Settings
 from yewrill.net.destinations import Garbled, Word
 from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request
+from yewrill.net.listener import Client
+
+Carried = Callable[[], Awaitable[Answer | None]]
+Closing = Callable[[], bool]  # whether connections are to be closed after their answer
 
 MAX_ID = 256
 # Not passed on: they concern one connection, or are written anew.
@@ -160,7 +165,7 @@
     """One job, one request, one reply."""
 
     content_type = ""
-    streams = False
+    takes_while_draining = True
 
     def __init__(self, reader: Reader):
         self.reader = reader
@@ -171,6 +176,13 @@
     def decoder(self) -> _Lines:
         return _Lines()
 
+    async def respond(self, client: Client, operation: Operation, carried: Carried, closing: Closing) -> bool:
+        """Carry an operation and reply; whether the connection may carry another request."""
+        answer = await carried()
+        if answer is None or client.gone:
+            return False
+        return await client.send(client.http.whole(self.reply(answer), closing())) and not closing()
+
     def reply(self, answer: Answer) -> Reply:
         if isinstance(answer, Served):
             return Reply(200, body_of(answer.result), content_type="application/octet-stream")
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum
 
@@ -42,7 +43,7 @@
             try:
                 sock.connect(address)
             except BlockingIOError:
-                await trio.lowlevel.wait_writable(sock)
+                await connection._ready(trio.lowlevel.wait_writable)
                 error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
                 if error:
                     raise OSError(error, "connect failed") from None
@@ -51,13 +52,20 @@
             raise
         return connection
 
+    async def _ready(self, wait: Callable[[socket.socket], Awaitable[None]]) -> None:
+        try:
+            await wait(self.sock)
+        except trio.ClosedResourceError:
+            # Another task closed it meanwhile: to whoever waits, that is one more way to lose it.
+            raise OSError("connection closed here") from None
+
     async def fill(self) -> int:
         """Read what has come into the inbound ring; 0 at the end of the stream."""
         while True:
             count = self.fill_now()
             if count is not None:
                 return count
-            await trio.lowlevel.wait_readable(self.sock)
+            await self._ready(trio.lowlevel.wait_readable)
 
     def fill_now(self) -> int | None:
         """As `fill`, or None if nothing has come."""
@@ -87,7 +95,7 @@
             try:
                 count = self.sock.send(self.outbound.pending())
             except (BlockingIOError, InterruptedError):
-                await trio.lowlevel.wait_writable(self.sock)
+                await self._ready(trio.lowlevel.wait_writable)
                 continue
             self.outbound.used(count)
             self.unsent -= count
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -170,8 +170,6 @@
                     self._decisions.started(step)
                 elif word.state == "running":
                     self._decisions.progress(step, word.share)
-                    if step.operation.on_progress is not None:
-                        step.operation.on_progress(word.share)
                 else:
                     ending = _WORD_ENDINGS.get(word.state)
                     if ending is None:
@@ -223,6 +221,8 @@
 
     def _take(self, destination: Destination) -> _Line | None:
         """An idle connection that is young, quiet and leads to the present address; the latest used first."""
+        if self._settling and not self._idle.get(destination.id):
+            self._settle()
         idle = self._idle.get(destination.id)
         while idle:
             line = idle.pop()
@@ -278,6 +278,22 @@
 
     def sweep(self) -> None:
         """Retire idle connections before the other side does, and settle the answered ones."""
+        self._settle()
+        now = trio.current_time()
+        for name, lines in list(self._idle.items()):
+            kept = []
+            for line in lines:
+                if now - line.idle_since < self._keep and line.http.connection.quiet() is Quiet.IDLE:
+                    kept.append(line)
+                else:
+                    self._drop(line)
+            if kept:
+                self._idle[name] = kept
+            else:
+                del self._idle[name]
+
+    def _settle(self) -> None:
+        """Look whether answered exchanges have ended by now."""
         now = trio.current_time()
         settling, self._settling = self._settling, []
         for name, line, until in settling:
@@ -291,17 +307,6 @@
                 self._settling.append((name, line, until))
                 continue
             self._drop(line)
-        for name, lines in list(self._idle.items()):
-            kept = []
-            for line in lines:
-                if now - line.idle_since < self._keep and line.http.connection.quiet() is Quiet.IDLE:
-                    kept.append(line)
-                else:
-                    self._drop(line)
-            if kept:
-                self._idle[name] = kept
-            else:
-                del self._idle[name]
 
     async def keep_tidy(self, every: float = 0.1) -> None:
         while True:
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -77,14 +77,20 @@
         """A reply with its length, as bytes."""
         headers = [("Content-Type", reply.content_type), ("Content-Length", str(len(reply.body)))]
         head = self.head(reply.status, headers + reply.headers, close)
-        return head + (self.parser.send(h11.Data(data=reply.body)) or b"") \
-            + (self.parser.send(h11.EndOfMessage()) or b"")
+        return head + self.part(reply.body) + self.end()
 
     def head(self, status: int, headers: list[tuple[str, str]], close: bool) -> bytes:
         if close:
             headers = [*headers, ("Connection", "close")]
         return self.parser.send(h11.Response(status_code=status, headers=headers))
 
+    def part(self, data: bytes) -> bytes:
+        """A piece of a body whose length is not known beforehand."""
+        return self.parser.send(h11.Data(data=data)) or b""
+
+    def end(self) -> bytes:
+        return self.parser.send(h11.EndOfMessage()) or b""
+
     @property
     def reusable(self) -> bool:
         return self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -13,6 +13,7 @@
 from yewrill.core import carry
 from yewrill.facade import Decisions
 from yewrill.fronts.platform import PlatformFront, Reader
+from yewrill.fronts.progress import ProgressFront
 from yewrill.net.destinations import DestinationPool
 from yewrill.net.http import BadRequest, Reply, Request
 from yewrill.net.listener import Client, Listener
@@ -20,6 +21,7 @@
 
 log = logging.getLogger("yewrill")
 
+FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
@@ -31,7 +33,7 @@
         self.draining = False
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
-        self.front = PlatformFront(Reader(config.settings, config.answer_margin_ms))
+        self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
         sockets = config.limits.sockets - SPARE
         self.destinations = DestinationPool(
             self.decisions, self.pool, self.front, most=int(sockets * DESTINATION_PART),
@@ -88,16 +90,17 @@
                 raise BadRequest(405, "GET only", (("Allow", "GET"),))
             reply = self._ready()
         else:
+            if self.draining and not self.front.takes_while_draining:
+                raise BadRequest(503, "draining")
             now = self.decisions.now() - (trio.current_time() - request.arrived) * 1000.0
             operation = self.front.reader.operation(request, now)
             client.operation, client.on_left = operation, self.decisions.left
             try:
-                answer = await carry(operation, self.decisions, self.destinations.attempt)
+                return await self.front.respond(
+                    client, operation, lambda: carry(operation, self.decisions, self.destinations.attempt),
+                    lambda: self.draining)
             finally:
                 client.operation = None
-            if answer is None or client.gone:
-                return False
-            reply = self.front.reply(answer)
         close = self.draining
         return await client.send(client.http.whole(reply, close)) and not close
 
