--- a/yewrill/__main__.py
+++ b/yewrill/__main__.py
@@ -1,4 +1,7 @@
-"""`python -m yewrill`: one real dispatcher, told where its configuration is by BALANCER_CONFIG."""
+"""`python -m yewrill`: one real dispatcher, told where its configuration is by BALANCER_CONFIG.
+
+With arguments it is the command line of `cli.py`.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +13,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:
+        from yewrill.cli import main as command_line
+
+        command_line(prog_name="yewrill")
     path = os.environ.get(ENV_CONFIG)
     try:
         if not path:
--- /dev/null
+++ b/yewrill/cli.py
@@ -0,0 +1,160 @@
+"""The command line: serve, version, config write, config check."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+import ujson
+
+from yewrill import __version__, configwrite
+from yewrill.config import ENV_CONFIG, FRONTS, ConfigError, load_config
+from yewrill.trace import FORMATS, BadRow, TraceError, formats
+
+MOST_BAD_ROWS = 20  # told one by one; the rest are counted
+
+
+@click.group()
+def main() -> None:
+    """yewrill dispatches jobs to destinations, for one application or on the platform."""
+
+
+def _fail(error: Exception) -> None:
+    click.echo(f"yewrill: {error}", err=True)
+    sys.exit(2)
+
+
+_file = click.option(
+    "--config",
+    "path",
+    envvar=ENV_CONFIG,
+    required=True,
+    type=click.Path(dir_okay=False),
+    help=f"The configuration file; {ENV_CONFIG} if not given.",
+)
+
+
+@main.command()
+@_file
+@click.option(
+    "--log-level",
+    envvar="YEWRILL_LOG",
+    default="INFO",
+    show_default=True,
+    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
+)
+def serve(path: str, log_level: str) -> None:
+    """Run the dispatcher in the foreground until SIGTERM."""
+    from yewrill.service import serve as run
+
+    try:
+        config = load_config(path, os.environ)
+    except ConfigError as error:
+        _fail(error)
+    sys.exit(run(config, log_level))
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"yewrill {__version__}")
+
+
+@main.group()
+def config() -> None:
+    """Write and check configuration files."""
+
+
+@config.command()
+@click.argument("path", envvar=ENV_CONFIG, type=click.Path(dir_okay=False))
+def check(path: str) -> None:
+    """Check a configuration file and name the faulty key, if there is one."""
+    try:
+        found = load_config(path, os.environ)
+    except ConfigError as error:
+        _fail(error)
+    click.echo(
+        f"ok: {found.name} on {found.listen[0]}:{found.listen[1]}, front {found.front}, "
+        f"classes {', '.join(c.name for c in found.settings.classes)}, "
+        f"tenants {', '.join(t.name for t in found.settings.tenants) or 'none'}"
+    )
+
+
+@config.command()
+@click.option("--listen", required=True, help="IPv4-ADDRESS:PORT where clients connect.")
+@click.option("--discovery", required=True, help="IPv4-ADDRESS:PORT of discovery.")
+@click.option("--name", default="yewrill", show_default=True)
+@click.option("--front", type=click.Choice(FRONTS), default="platform", show_default=True)
+@click.option(
+    "--class",
+    "classes",
+    multiple=True,
+    metavar="NAME:KEY=VALUE,...",
+    help="A class: deadline, aim (ms), stretch, value, late_value, repeat (pure, token, side_effect), "
+    "group (all, zone, cell), window (ms).",
+)
+@click.option("--tenant", "tenants", multiple=True, metavar="NAME:quota_per_s=N,share=N")
+@click.option("--zone", "zones", multiple=True, help="A zone, in discovery's words; the first one is ours.")
+@click.option("--kind", "kinds", multiple=True, help="A kind of machine, in discovery's words.")
+@click.option("--dispatchers", default=1, show_default=True, type=click.IntRange(1))
+@click.option("--sockets", default=1024, show_default=True)
+@click.option("--memory-mb", default=192, show_default=True)
+@click.option("--cores", default=1.0, show_default=True)
+@click.option("--from-trace", type=click.Path(dir_okay=False), help="Derive the classes from a trace in CSV.")
+@click.option(
+    "--trace-format", type=click.Choice(list(formats())), default=next(iter(formats())), show_default=True
+)
+@click.option(
+    "--time-scale",
+    default=1.0,
+    show_default=True,
+    type=click.FloatRange(0, min_open=True),
+    help="Multiplies the trace's times; 0.01 plays an hour in 36 s.",
+)
+@click.option("--strict", is_flag=True, help="Fail if the trace has a bad row.")
+@click.option(
+    "--output", type=click.Path(dir_okay=False), help="The file to write; standard output if absent."
+)
+def write(classes, tenants, from_trace, trace_format, time_scale, strict, output, **rest) -> None:
+    """Make a configuration file from options, or from a public cluster trace."""
+    try:
+        derived, rate = None, 0.0
+        if from_trace and classes:
+            raise ConfigError("--class: not together with --from-trace")
+        if from_trace:
+            bad: list[BadRow] = []
+            trace = FORMATS[trace_format](from_trace, bad.append)
+            _tell_bad(from_trace, bad, trace.rows)
+            if strict and bad:
+                raise TraceError(f"{from_trace}: {len(bad)} bad rows")
+            parts, stretches, derived = configwrite.classes_from_trace(trace, time_scale)
+            rate = sum(c["rate_per_s"] for c in derived.values())
+        else:
+            parts, stretches = configwrite.classes_from_options(classes)
+        raw = configwrite.build(
+            classes=parts, stretches=stretches, tenants=tenants, derived=derived, rate=rate, **rest
+        )
+        text = ujson.dumps(raw, indent=2, escape_forward_slashes=False) + "\n"
+        if output:
+            Path(output).write_text(text)
+        else:
+            click.echo(text, nl=False)
+    except (ConfigError, TraceError) as error:
+        _fail(error)
+    except OSError as error:
+        _fail(ConfigError(f"{output}: {error.strerror}"))
+
+
+def _tell_bad(path: str, bad: list[BadRow], rows: int) -> None:
+    for row in bad[:MOST_BAD_ROWS]:
+        click.echo(f"{path}: {row}", err=True)
+    if len(bad) > MOST_BAD_ROWS:
+        click.echo(f"{path}: and {len(bad) - MOST_BAD_ROWS} more bad rows", err=True)
+    if bad:
+        click.echo(f"{path}: {len(bad)} of {rows} rows left out", err=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/yewrill/configwrite.py
@@ -0,0 +1,153 @@
+"""Makes a configuration file for one application: from options, or from a public cluster trace."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from yewrill.config import ConfigError, read_config
+from yewrill.trace import Trace
+
+# What is written when nothing else is said: cautious figures for a small fleet on one network.
+LIMITS = {
+    "try_limit": 3,
+    "connect_timeout": 150.0,
+    "idle_close": 10000.0,
+    "max_retry_after": 2000.0,
+    "retry_after": True,
+    "may_probe": False,
+    "cancel": True,
+    "second_copies": False,
+}
+RULES = {
+    "answer_slack": 8.0,
+    "fall": 3000.0,
+    "fall_multiple": 3.0,
+    "start_capacity": 0.3,
+    "warm_after": 10000.0,
+    "stop_sending_within": 1000.0,
+}
+_CLASS_KEYS = {
+    "aim": float,
+    "deadline": float,
+    "stretch": float,
+    "value": float,
+    "late_value": float,
+    "window": float,
+    "repeat": str,
+    "group": str,
+}
+_TENANT_KEYS = {"quota_per_s": float, "share": float}
+
+LEAST_DEADLINE = 100.0  # ms: a shorter one leaves no time for a second attempt
+
+
+def parse_item(text: str, key: str, keys: Mapping[str, type]) -> tuple[str, dict[str, Any]]:
+    """`name:key=value,key=value` as given on the command line."""
+    name, _, rest = text.partition(":")
+    values: dict[str, Any] = {}
+    for part in filter(None, rest.split(",")):
+        word, equals, value = part.partition("=")
+        if word not in keys or not equals:
+            raise ConfigError(f"{key} {name}: {part!r} is not one of {', '.join(keys)}, as KEY=VALUE")
+        try:
+            values[word] = keys[word](value)
+        except ValueError:
+            raise ConfigError(f"{key} {name}: {word}: {value!r} is not a number") from None
+    return name, values
+
+
+def classes_from_options(items: tuple[str, ...]) -> tuple[list[dict[str, Any]], list[float]]:
+    """Request classes, and their stretches, which the settings hold in a place of their own."""
+    classes, stretches = [], []
+    for item in items:
+        name, values = parse_item(item, "--class", _CLASS_KEYS)
+        stretches.append(values.pop("stretch", 0.0))
+        classes.append({"name": name, "repeat": "pure", "value": 1.0, **values})
+    return classes, stretches
+
+
+def classes_from_trace(
+    trace: Trace, scale: float
+) -> tuple[list[dict[str, Any]], list[float], dict[str, Any]]:
+    """Request classes by task type: wanted within the median run's own time again plus the spread to its
+    95th percentile, given up after twice the 99th. The figures that this rests on go along."""
+    classes, stretches, derived = [], [], {}
+    for name, found in trace.classes.items():
+        p50, p95, p99 = (found.quantile(q) * scale for q in (0.5, 0.95, 0.99))
+        deadline = max(LEAST_DEADLINE, 2.0 * p99)
+        aim = min(deadline, max(LEAST_DEADLINE / 2, p95 - p50))
+        classes.append(
+            {
+                "name": name,
+                "repeat": "pure",
+                "value": 1.0,
+                "aim": round(aim, 3),
+                "deadline": round(deadline, 3),
+            }
+        )
+        stretches.append(2.0)
+        derived[name] = {
+            "rate_per_s": round(found.arrivals / (trace.span * scale), 6),
+            "run_ms": {
+                "mean": round(found.mean * scale, 3),
+                "p50": round(p50, 3),
+                "p95": round(p95, 3),
+                "p99": round(p99, 3),
+            },
+            "slots_mean": round(found.slots / found.arrivals, 3),
+            "arrivals": found.arrivals,
+            "finished_rows": found.finished,
+        }
+    return classes, stretches, derived
+
+
+def build(
+    *,
+    listen: str,
+    discovery: str,
+    name: str,
+    front: str,
+    classes: list[dict[str, Any]],
+    stretches: list[float],
+    tenants: tuple[str, ...] = (),
+    zones: tuple[str, ...] = (),
+    kinds: tuple[str, ...] = (),
+    dispatchers: int = 1,
+    sockets: int = 1024,
+    memory_mb: int = 192,
+    cores: float = 1.0,
+    derived: Mapping[str, Any] | None = None,
+    rate: float = 0.0,
+) -> dict[str, Any]:
+    """The whole configuration, checked by the same code that reads it."""
+    parties = []
+    for item in tenants:
+        tenant, values = parse_item(item, "--tenant", _TENANT_KEYS)
+        parties.append(
+            {"name": tenant, "share": 1.0 / len(tenants), "quota_per_s": rate / len(tenants), **values}
+        )
+    raw: dict[str, Any] = {
+        "name": name,
+        "listen": listen,
+        "discovery": discovery,
+        "front": front,
+        "limits": {"cores": cores, "memory_mb": memory_mb, "sockets": sockets},
+        "settings": {
+            "areas": list(zones) or ["here"],
+            "kinds": list(kinds) or ["standard"],
+            "instances": dispatchers,
+            "tick": 2.0,
+            "counted_by": "work",
+            "registry_mode": "push",
+            "request_classes": classes,
+            "parties": parties,
+            "limits": dict(LIMITS),
+            "rules": dict(RULES),
+            "specifics": {"class_stretch": stretches, "tells_start": True, "progress": 1000.0},
+        },
+    }
+    if derived:
+        raw["x-derived"] = dict(derived)
+    read_config(raw)
+    return raw
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -48,12 +48,13 @@
         self.decisions.tick()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.decisions.run, self.destinations.probe)
-            nursery.start_soon(watch, self.config.discovery, self.pool)
             nursery.start_soon(self.destinations.keep_tidy)
             if signals:
                 await nursery.start(self._on_signal, nursery)
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
                      *self.listener.address, self.config.front, len(self.pool))
+            # After that line, so that the log tells of the start first and of a silent discovery second.
+            nursery.start_soon(watch, self.config.discovery, self.pool)
             task_status.started(self)
             # What start-up left behind stays for good: the collector need not look at it again.
             gc.collect()
