Our own shortage of descriptors no longer counts against a destination

Seen by reading, with a probe test: EMFILE while opening towards a destination was reported as UNREACHED (destinations.py, _try and probe), so the module left a healthy destination alone for half a second and more. It is NOT_SENT now, and a probe not made is no news.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,9 @@
 from helper import SETTINGS, Peer, done, hang, story, world
 
 from yewrill import interface as api
-from yewrill.facade import Decisions
+from yewrill.ending import Ending
+from yewrill.facade import BusyReply, Decisions, Destination, Operation, RouteStep
+from yewrill.net.connection import Connection
 
 
 @story
@@ -319,6 +321,53 @@
         assert len(failures) == 3
 
 
+@story
+async def test_our_own_shortage_is_not_held_against_a_destination(monkeypatch):
+    async with world(Peer("d1", done)) as w:
+        real = Connection.open
+
+        async def short(*args, **kwargs):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        monkeypatch.setattr(Connection, "open", short)
+        assert (await w.ask("/once")).status == 503  # refused, which a class that ran would not allow
+        assert await w.service.destinations.probe("d1") is Ending.TURNED_AWAY
+        monkeypatch.setattr(Connection, "open", real)
+        began = trio.current_time()
+        assert (await w.ask("/once", X_Request_ID="r2")).status == 200
+        assert trio.current_time() - began < 0.2  # a destination thought unreachable is left alone longer
+
+
+@story
+async def test_probes_tell_live_destinations_from_dead_ones():
+    peer = Peer("d1", done)
+
+    async def script(exchange):
+        assert exchange.target == "/alive" and not exchange.id
+        await exchange.status(script.status)
+
+    peer.script = script
+    async with world(peer) as w:
+        for script.status, ending in ((200, Ending.SERVED), (503, Ending.TURNED_AWAY), (404, Ending.FAILED)):
+            assert await w.service.destinations.probe("d1") is ending
+        peer.script = hang
+        assert await w.service.destinations.probe("d1") is Ending.UNREACHED
+        assert peer.connections == 1
+
+
+@story
+async def test_a_fault_in_a_standing_task_does_not_end_the_program(monkeypatch):
+    async with world(Peer("d1", done)) as w:
+        def faulty(answer, cached=False):
+            monkeypatch.undo()
+            raise KeyError("a fault for the test")
+
+        monkeypatch.setattr(w.service.pool, "apply", faulty)
+        w.discovery.tell()
+        await w.until(lambda: w.service.pool.version == 2)
+        assert (await w.ask()).status == 200
+
+
 @story
 async def test_client_connections_are_bounded_and_idle_ones_give_way():
     async with world(Peer("d1", done), limits={"sockets": 80}) as w:
@@ -333,8 +382,6 @@
 @story
 async def test_pick_report_tick_without_any_sockets():
     settings = api.Settings(classes=[api.JobClass("c", 500.0, 1000.0)], max_attempts=2)
-    from yewrill.ending import Ending
-    from yewrill.facade import BusyReply, Destination, Operation, RouteStep
     decisions = Decisions(settings, 1)
     decisions.pool_config([Destination("d1", ("", 0)), Destination("d2", ("", 0))], full=True)
     operation = Operation("r1", 0, decisions.now() + 1000.0)
@@ -350,6 +397,5 @@
 
 
 def test_every_ending_has_an_outcome_and_only_unsent_ones_prove_that_nothing_ran():
-    from yewrill.ending import Ending
     never = {e for e in Ending if e.outcome in api.NEVER_RAN}
     assert never == {Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT}
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -12,6 +13,7 @@
 from yewrill.net.ring import RingBuffer
 
 RING = 8192
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Quiet(Enum):
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -13,7 +13,7 @@
 
 from yewrill.ending import Ending
 from yewrill.facade import Decisions, Destination, RouteStep
-from yewrill.net.connection import Connection, Quiet
+from yewrill.net.connection import NO_DESCRIPTORS, Connection, Quiet
 from yewrill.net.http import ClientSide, PeerEnded
 from yewrill.net.poolconfig import PoolConfig
 
@@ -115,8 +115,14 @@
                 return Ending.NOT_SENT, None
             try:
                 line = await self._open(destination)
-            except (OSError, trio.TooSlowError):
+            except trio.TooSlowError:
                 return Ending.UNREACHED, None
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTORS:
+                    return Ending.UNREACHED, None
+                # Our own shortage says nothing against the destination.
+                log.warning("sockets-short open=%d: %s", self.open, error.strerror)
+                return Ending.NOT_SENT, None
         keep = False
         try:
             # Opening took time: the last look before the first byte.
@@ -179,24 +185,26 @@
     # -- probes
 
     async def probe(self, name: str) -> Ending:
-        """Ask a destination whether it is alive."""
+        """Ask a destination whether it is alive. What was not asked counts as turned away, which the module
+        takes for no news; any other ending would have it leave the destination alone for a while."""
         destination = self._pool.get(name)
         if destination is None or not self._pool.may_send(name):
-            return Ending.NOT_SENT
+            return Ending.TURNED_AWAY
         line = self._take(destination)
         keep = False
         try:
             with trio.fail_after(PROBE_TIMEOUT):
                 if line is None:
                     if not self._make_room():
-                        return Ending.NOT_SENT
+                        return Ending.TURNED_AWAY
                     line = await self._open(destination)
                 data = line.http.encode("GET", PROBE_PATH, [("Host", "destination")])
                 await line.http.connection.send(data)
                 response = await line.http.response()
                 keep = True
-        except (OSError, trio.TooSlowError, PeerEnded):
-            return Ending.UNREACHED
+        except (OSError, trio.TooSlowError, PeerEnded) as error:
+            short = isinstance(error, OSError) and error.errno in NO_DESCRIPTORS
+            return Ending.TURNED_AWAY if short else Ending.UNREACHED
         except h11.RemoteProtocolError:
             return Ending.GARBLED
         finally:
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import socket
 from collections.abc import Awaitable, Callable
@@ -12,7 +11,7 @@
 import trio
 
 from yewrill.facade import Operation
-from yewrill.net.connection import Connection, Quiet
+from yewrill.net.connection import NO_DESCRIPTORS, Connection, Quiet
 from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request, ServerSide
 
 log = logging.getLogger("yewrill.clients")
@@ -21,7 +20,6 @@
 REQUEST_TIME = 10.0  # seconds from a request's first byte to its last
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
-NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Client:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -6,6 +6,8 @@
 import logging
 import signal
 import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import trio
 
@@ -23,6 +25,7 @@
 
 FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
+AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
 
@@ -47,14 +50,14 @@
             self.pool.apply(dict(self.config.known), cached=True)
         self.decisions.tick()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.decisions.run, self.destinations.probe)
-            nursery.start_soon(self.destinations.keep_tidy)
+            nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
+            nursery.start_soon(_keep, self.destinations.keep_tidy)
             if signals:
                 await nursery.start(self._on_signal, nursery)
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
                      *self.listener.address, self.config.front, len(self.pool))
             # After that line, so that the log tells of the start first and of a silent discovery second.
-            nursery.start_soon(watch, self.config.discovery, self.pool)
+            nursery.start_soon(_keep, watch, self.config.discovery, self.pool)
             task_status.started(self)
             # What start-up left behind stays for good: the collector need not look at it again.
             gc.collect()
@@ -113,6 +116,16 @@
         return Reply(200, b"up\n")
 
 
+async def _keep(task: Callable[..., Awaitable[None]], *args: Any) -> None:
+    """Run a task that must outlive its own faults: one bad list or sweep must not end the program."""
+    while True:
+        try:
+            await task(*args)
+        except Exception:
+            log.exception("task-fault task=%s", getattr(task, "__name__", task))
+            await trio.sleep(AFTER_FAULT)
+
+
 def serve(config: Config, level: str = "INFO") -> int:
     """Run the service in the foreground; its log goes to standard error."""
     logging.basicConfig(stream=sys.stderr, level=level,
