Learn a worker's slots from start notices where nothing reports load

At fault: decide.py, _started, which counted nothing, and _room and _slots, which held kind.free at its first value.

Now the slots of ours that a worker runs at once raise what is known of its kind, and free slots follow from that.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -266,3 +266,34 @@
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [])])
     d.handle(10.0, [api.JobArrived("j", 0, 9010.0, hint=300.0)])
     assert (d.jobs["j"].run, d.jobs["j"].due) == (300.0, 10.0 + 1000.0 - 300.0)
+
+
+def test_a_late_retry_takes_nothing_from_its_tenants_share():
+    # A storm of retries past their wanted time must not have the tenant's first tries refused as over share.
+    settings = Settings(classes=[api.JobClass("c", 100.0, 5000.0)], tenants=[api.Tenant("t", 1.0)])
+    d = Dispatcher(settings, 1)
+    d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
+    d.handle(1.0, [api.JobArrived("first", 0, 5001.0)])
+    credit = d.tenants[0].credit
+    late = [api.JobArrived(f"late{i}", 0, 2000.0) for i in range(50)]  # asked for 3 s ago
+    refused = [a.job for a in d.handle(2.0, late) if isinstance(a, api.Refuse)]
+    assert refused == [f"late{i}" for i in range(50)]
+    assert d.tenants[0].credit == credit and d.tenants[0].arrivals == 1
+
+
+@pytest.mark.parametrize("fields, learned", [((), True), (("x0",), False)])
+def test_slots_are_learned_from_start_notices_only_where_nothing_reports_load(fields, learned):
+    settings = Settings(classes=[api.JobClass("c", 1000.0, 5000.0)], tells_start=True, report_fields=fields,
+                        max_attempts=3)
+    d = Dispatcher(settings, 1)
+    d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
+    now = 1.0
+    for i in range(400):
+        actions = d.handle(now, [api.JobArrived(f"j{i}", 0, now + 5000.0)])
+        for send in [a for a in actions if isinstance(a, api.Send)]:
+            d.handle(now + 1.0, [api.AttemptStarted(send.job, 0, "w")])  # the worker always has a slot
+        now += 10.0
+        for done in [a for a in d.attempts.values() if now - a.sent > 60.0]:
+            d.handle(now, [api.AttemptEnded(done.job.id, done.number, "w", api.SERVED, 60.0, True)])
+    worker = d.workers["w"]
+    assert (worker.kind.slots > 4.0) is learned and worker.running == len(d.attempts)
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -274,6 +274,7 @@
         "name", "zone", "kind", "cell", "kind_no", "usable", "listed", "launched", "cold_from", "credit",
         "credit_at", "inflight", "free", "free_at", "cap", "unstarted", "waiting_since", "ratio", "seen",
         "slow", "slow_at", "errors", "errors_at", "blocked", "fails", "probing", "sent_at", "fresh",
+        "running",
     )
 
     def __init__(self, entry: api.WorkerEntry, kind: Kind):
@@ -293,6 +294,7 @@
         self.free_at = -1e18
         self.cap = 2.0  # most slots of it we fill: a restarted dispatcher's lost jobs may still run there
         self.unstarted = 0  # attempts out whose start was not told
+        self.running = 0.0  # slots of our attempts whose start was told
         self.waiting_since = 0.0
         self.ratio = 1.0  # run times here over the class's mean
         self.seen = 0.0
@@ -375,6 +377,8 @@
         self.end_armed = -1.0
         self.stirred = False
         self.subscribed = False
+        # Without load reports, start notices alone tell how many slots a worker has.
+        self.slots_by_starts = settings.tells_start and not settings.report_fields
         self.watch_fails = 0
         self.cross_fee = settings.fees.get("cross_zone", 0.0)
         self.mean_worth = sum(c.worth for c in settings.classes) / len(settings.classes)
@@ -396,6 +400,8 @@
         self.out = []
         if self.refreshed < 0 or now - self.refreshed >= REFRESH:
             self._refresh()
+        if self.slots_by_starts:
+            self._free_by_starts()
         for event in events:
             self.on[type(event)](event)
         if self.ghosts and self.ghosts[0][0] <= now:
@@ -474,6 +480,13 @@
             slots += kind.slots * kind.count
         return free / slots if slots > 0 else 0.0
 
+    def _free_by_starts(self) -> None:
+        """Free slots of an average worker where nothing reports them: those that starts have shown, less ours
+        and as many for each other dispatcher."""
+        for kind in self.kinds:
+            taken = kind.inflight * self.settings.dispatchers / max(1, kind.count)
+            kind.free = max(0.0, kind.slots - taken)
+
     def _drain_time(self) -> float:
         """x: an upper quantile of recent run times over the slots this dispatcher may fill."""
         return self.run_quantile / self._slots()
@@ -784,7 +797,8 @@
         span = max(200.0, self.run_quantile)
         kind = w.kind
         # Without a fresh report, what we have there ourselves against what we have on its peers tells most.
-        prior = kind.free + kind.inflight / max(1, kind.count) - w.inflight
+        # One slot more than is known of is always tried: only so can a larger worker be learned of.
+        prior = max(1.0, kind.free) + kind.inflight / max(1, kind.count) - w.inflight
         if age < span:
             trust = 1.0 - age / span
             room = trust * w.free + (1.0 - trust) * prior
@@ -891,7 +905,11 @@
             return
         attempt.started = self.now
         self._counted_off(attempt)
-        self._alive(attempt.worker)
+        w = attempt.worker
+        w.running += attempt.job.need
+        if self.slots_by_starts and w.running > w.kind.slots:
+            w.kind.slots += 0.3 * (w.running - w.kind.slots)  # it runs that many of ours at once
+        self._alive(w)
 
     def _counted_off(self, attempt: Attempt) -> None:
         if attempt.counted:
@@ -922,6 +940,8 @@
         job = attempt.job
         job.live.pop(attempt.number, None)
         self._counted_off(attempt)
+        if attempt.started:
+            w.running -= job.need
         outcome = event.outcome
         self.stirred = True
         if outcome in (api.TIMEOUT, api.CANCELLED, api.CONNECTION_LOST) and w.usable:
