A destination's unwritable result, odd share or endless talk ends its attempt only

Seen by reading, then in tests that failed before: a result with an infinite number reached the client as no JSON, one with a lone surrogate ended in an exchange-fault (fronts/platform.py, word_of), and a connection that went on talking after its last line was read without end (net/http.py, settled).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -57,6 +57,22 @@
     await exchange.raw("{]\n")
 
 
+async def no_result(exchange):
+    await exchange.say("done")
+
+
+async def unwritable(exchange):
+    await exchange.raw('{"id":"r1","from":"d","state":"done","result":[1e999]}\n')
+
+
+async def surrogate(exchange):
+    await exchange.raw('{"id":"r1","from":"d","state":"done","result":"\\ud800"}\n')
+
+
+async def too_far(exchange):
+    await exchange.say("running", share=7)
+
+
 async def endless(exchange):
     while True:
         await exchange.raw("x" * 9000)
@@ -84,6 +100,7 @@
 
 @pytest.mark.parametrize("failure, never_ran", [
     (dies, False), (lost, False), (other_id, False), (nonsense, False), (endless, False), (not_http, False),
+    (no_result, False), (unwritable, False), (surrogate, False), (too_far, False),
     (error, False), (plain_503, False), (returned, True), (handed_back, True),
 ])
 @story
@@ -213,6 +230,20 @@
             assert peer.connections == 5 and len(peer.exchanges) == 5
 
 
+@story
+async def test_a_destination_that_goes_on_talking_after_its_answer_holds_nobody_up():
+    async def talks(exchange):
+        await exchange.say("done", result="profile")
+        while True:
+            await exchange.raw("more\n" * 1500)
+
+    peer = Peer("d1", talks)
+    async with world(peer) as w:
+        for i in range(3):
+            assert (await w.ask(X_Request_ID=f"r{i}")).status == 200
+        await w.until(lambda: not peer.live)  # its connections are given up
+
+
 @story
 async def test_idle_connections_are_retired_before_the_other_side_does_it():
     peer = Peer("d1", done)
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -131,15 +131,17 @@
         state = said["state"]
         if not isinstance(state, str) or isinstance(share, bool) or not isinstance(share, (int, float)):
             raise Garbled("fields of the wrong type")
-        if state == "done" and "result" not in said:
-            raise Garbled("done without a result")
+        if not 0.0 <= share <= 1.0:  # not a number fails too
+            raise Garbled("share out of bounds")
+        if state == "done":
+            body_of(said["result"])  # a result that can't be written to a client is none
         return Word(said["id"], state, float(share), said.get("result"))
-    except (ValueError, KeyError, AttributeError, TypeError) as error:
+    except (ValueError, KeyError, AttributeError, TypeError, OverflowError) as error:
         raise Garbled(f"not a job's line: {type(error).__name__}") from None
 
 
 def body_of(result: Any) -> bytes:
-    return result.encode() if isinstance(result, str) else ujson.dumps(result).encode()
+    return result.encode() if isinstance(result, str) else ujson.dumps(result, allow_nan=False).encode()
 
 
 def retry_after(answer: BusyReply) -> str:
--- a/yewrill/fronts/progress.py
+++ b/yewrill/fronts/progress.py
@@ -34,7 +34,7 @@
 def encode_event(type: str, data: object, id: str = "") -> bytes:
     """One event. The data is JSON on a single line, so no line of it can be taken for a field."""
     head = f"event: {type}\n" + (f"id: {id}\n" if id else "")
-    return f"{head}data: {ujson.dumps(data, escape_forward_slashes=False)}\n\n".encode()
+    return f"{head}data: {ujson.dumps(data, escape_forward_slashes=False, allow_nan=False)}\n\n".encode()
 
 
 class EventStreamParser:
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -155,11 +155,15 @@
     def settled(self) -> bool:
         """Whether the exchange is over on both sides, so that the connection can carry another."""
         parser = self.parser
+        read = 0
         while parser.their_state is h11.SEND_BODY:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                if self.connection.closed or not self.connection.fill_now():
+                # One that never stops talking after its answer must not hold up everyone else.
+                if self.connection.closed or read > MAX_BODY or not self.connection.fill_now():
                     return False
-                parser.receive_data(self.connection.inbound.take())
+                data = self.connection.inbound.take()
+                read += len(data)
+                parser.receive_data(data)
         return parser.our_state is h11.DONE and parser.their_state is h11.DONE \
             and not parser.trailing_data[0]
