--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -8,7 +8,8 @@
 import ujson
 from helper import Peer, done, hang, story, world
 
-from yewrill.fronts.progress import EventStreamParser, encode_event
+from yewrill.facade import Operation, RouteStep
+from yewrill.fronts.progress import EventStreamParser, _Outlet, encode_event
 from yewrill.net import listener
 from yewrill.net.destinations import Garbled
 
@@ -257,6 +258,24 @@
     assert ended == sum(len(p.exchanges) for p in peers)  # nothing was sent after the drain
 
 
+@story
+async def test_progress_of_a_dead_attempt_is_dropped_and_only_the_latest_is_kept():
+    operation = Operation("r1", 0, 0.0)
+    dead, live = (RouteStep(operation, number, "d1", 0.0) for number in (0, 1))
+    outlet = _Outlet(operation)
+    outlet.progress(dead, 0.9)  # never passed on before its attempt died
+    operation.live = live
+    with trio.move_on_after(0.05) as waited:
+        await outlet.next()
+    assert waited.cancelled_caught
+    for share in (0.1, 0.2, 0.3):
+        outlet.progress(live, share)
+    assert await outlet.next() == (1, 0.3)
+    outlet.progress(live, 0.4)
+    outlet.end(None)
+    assert await outlet.next() is None  # once the answer is there, nothing goes before it
+
+
 def test_the_event_stream_format():
     text = ('\ufeff: a comment\r\nevent: progress\rid: 4\r\ndata:{"a":\ndata: "ü"}\n\n'
             "retry: 10\nodd: field\ndata\n\nevent: never\n\ndata: cut off\n").encode()
