Refuse ambiguous framing, pass on checked headers only, reload on SIGHUP

Checked: h11 takes Transfer-Encoding over Content-Length when both are there and reads what follows the last chunk as the next request (listener.py Client.request accepted any h11.Request; http.py had no check of framing). Of the other spellings h11 itself refuses differing, signed and negative lengths, codings other than chunked, spaces in names and bare CR (each tested); it lets through both headers together, a folded one, '_' for '-', and Transfer-Encoding in HTTP/1.0. platform.py passed on every header not in a short list of exceptions, targets of any shape, and numbers as Python's float() takes them. service.py caught SIGTERM and SIGINT only, so SIGHUP's default ended the program: 129 is 128+1; ruled out a fault in reading the file, since nothing read it. Changed: http.check_framing; a list of headers and forms that go on (platform._PASSED, _TARGET, _NUMBER); Service.reload and poolconfig.Watch, which moves from within a held call and takes a whole list at the new address. Each guard was switched off in turn and its tests seen to fail.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -140,7 +140,6 @@
     def __init__(self, peers: list[Peer]):
         self.peers, self.version, self.calls = peers, 1, []
         self.changed, self.changes = trio.Event(), []
-        self.port = 0
         self.silent = False
 
     def answer(self, full: bool, servers: list[dict]) -> bytes:
@@ -153,6 +152,12 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    async def serve(self, nursery: trio.Nursery) -> str:
+        """Start; the address."""
+        self.peer = Peer("discovery", self.script)
+        await nursery.start(self.peer.serve)
+        return f"127.0.0.1:{self.peer.port}"
+
     async def script(self, exchange: Exchange) -> None:
         self.calls.append((trio.current_time(), exchange.target))
         if self.silent:
@@ -209,8 +214,9 @@
 
 
 class World:
-    def __init__(self, service: Service, discovery: Discovery, nursery: trio.Nursery):
+    def __init__(self, service: Service, discovery: Discovery, nursery: trio.Nursery, raw: dict):
         self.service, self.discovery, self.nursery = service, discovery, nursery
+        self.raw = raw  # the configuration; what is put here counts from the next reload on
         self.ended = trio.Event()
 
     async def client(self) -> Client:
@@ -230,24 +236,21 @@
 
 
 @asynccontextmanager
-async def world(*peers: Peer, settings: dict | None = None, **config):
+async def world(*peers: Peer, settings: dict | None = None, signals: bool = False, **config):
     """A service between scripted peers, its ports given by the system."""
     async with trio.open_nursery() as nursery:
         for peer in peers:
             peer.front = config.get("front", "platform")
             await nursery.start(peer.serve)
         discovery = Discovery(list(peers))
-        teller = Peer("discovery", discovery.script)
-        await nursery.start(teller.serve)
-        discovery.port = teller.port
-        raw = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{teller.port}",
+        raw = {"listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery),
                "known": {"version": 1, "full": True, "servers": [p.entry() for p in peers]},
                "settings": {**SETTINGS, **(settings or {})}, "seed": "5", **config}
-        service = Service(read_config(raw))
-        here = World(service, discovery, nursery)
+        service = Service(read_config(raw), lambda: read_config(raw))
+        here = World(service, discovery, nursery, raw)
 
         async def run(*, task_status=trio.TASK_STATUS_IGNORED) -> None:
-            await service.run(signals=False, task_status=task_status)
+            await service.run(signals=signals, task_status=task_status)
             here.ended.set()
 
         await nursery.start(run)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,13 @@
 """Stories of the platform's front, each told over loopback sockets against scripted peers."""
 
 import errno
+import os
+import signal
 import socket
 
 import pytest
 import trio
-from helper import SETTINGS, Peer, done, hang, story, world
+from helper import SETTINGS, Discovery, Peer, done, hang, story, world
 
 from yewrill import interface as api
 from yewrill.ending import Ending
@@ -211,6 +213,46 @@
         await w.until(lambda: w.service.pool.version == 3)
 
 
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_sighup_moves_the_watch_at_once_and_a_faulty_file_changes_nothing(front, caplog):
+    previous = signal.signal(signal.SIGHUP, lambda *_: None)  # without a receiver: fail, do not die
+    peers = [Peer("d1", hang), Peer("d2", done)]
+    try:
+        async with world(peers[0], front=front, signals=True) as w:
+            client = await w.client()
+            await client.send()
+            await w.until(lambda: peers[0].exchanges)
+            learned = w.service.decisions._module.workers["d1"]
+            del w.raw["settings"]
+            os.kill(os.getpid(), signal.SIGHUP)
+            await w.until(lambda: "reload-refused settings: missing" in caplog.text)
+            w.raw["settings"] = SETTINGS
+            peers[1].front = front
+            await w.nursery.start(peers[1].serve)
+            there = Discovery(peers)
+            there.version = 1  # an older count than the watch has seen: versions are each discovery's own
+            w.raw.update(discovery=await there.serve(w.nursery), name="other")
+            began = trio.current_time()
+            os.kill(os.getpid(), signal.SIGHUP)
+            await w.until(lambda: len(w.service.pool) == 2 and len(there.calls) == 2)
+            assert trio.current_time() - began < 1.0  # in the midst of a held call
+            assert "from=" not in there.calls[0][1]
+            assert "reload-ignored keys=name" in caplog.text
+            assert w.service.decisions._module.workers["d1"] is learned
+            peers[0].script = done
+            assert (await w.ask(X_Request_ID="r2")).status == 200
+            await w.nursery.start(finish, peers[0].exchanges[0])
+            assert (await client.reply()).status == 200  # what was taken before is served through it
+    finally:
+        signal.signal(signal.SIGHUP, previous)
+
+
+async def finish(exchange, *, task_status=trio.TASK_STATUS_IGNORED):
+    await exchange.done()
+    task_status.started()
+
+
 @story
 async def test_a_connection_that_ended_or_bears_stray_bytes_is_not_used_again():
     async def then_closes(exchange):
@@ -261,6 +303,9 @@
     (dict(X_Timeout_Ms="0"), 400), (dict(X_Timeout_Ms="9" * 30), 400), (dict(X_Attrs="width=nan"), 400),
     (dict(X_Attrs="width"), 400), (dict(x_request_id="r2"), 400), (dict(body=b"x" * 65537), 413),
     (dict(X_Filler="y" * 30000), 431), (dict(target="/up"), 405),
+    (dict(X_Request_ID="r 1"), 400), (dict(X_Request_ID="r" * 129), 400), (dict(target="/tour/%zz"), 400),
+    (dict(target="//tour"), 404), (dict(target="/tour/" + "a" * 2048), 414), (dict(target='/tour/"<'), 400),
+    (dict(Idempotency_Key="a,b"), 400), (dict(X_Cost="1_0"), 400), (dict(X_Attrs="odd=x"), 400),
 ]
 
 
@@ -274,6 +319,47 @@
         assert (await w.ask()).status == 200
 
 
+OUTER = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: outer\r\nX-Tenant-Id: acme\r\n"
+INNER = OUTER.replace(b"outer", b"inner") + b"Content-Length: 0\r\n\r\n"
+HIDING = [
+    OUTER + b"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" % (5 + len(INNER)),
+    OUTER + b"transfer-ENCODING: Chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+    OUTER + b"Transfer-Encoding:\r\n chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+    OUTER + b"Content-Length: 4\r\nTransfer_Encoding: chunked\r\n\r\n0\r\n\r\n",
+    OUTER.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    OUTER.replace(b"1.1", b"2.0") + b"Content-Length: 0\r\n\r\n",
+    OUTER + b"Content-Length: 4\r\nContent-Length: 0\r\n\r\n",
+    OUTER + b"Content-Length: +0\r\n\r\n",
+    OUTER + b"Content-Length: -1\r\n\r\n",
+    OUTER + b"Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@pytest.mark.parametrize("outer", HIDING, ids=[str(i) for i in range(len(HIDING))])
+@story
+async def test_a_body_that_may_hide_a_request_is_refused_and_nothing_behind_it_is_read(outer, front):
+    peer = Peer("d1", done)
+    async with world(peer, front=front) as w:
+        stream = await trio.open_tcp_stream(*w.service.listener.address)
+        await stream.send_all(outer + INNER)
+        reply = b""
+        while data := await stream.receive_some():
+            reply += data
+        assert reply[9:12] in (b"400", b"505") and reply.count(b"HTTP/1.1 ") == 1
+        assert not peer.exchanges
+
+
+@story
+async def test_only_known_headers_of_checked_form_reach_a_destination():
+    peer = Peer("d1", done)
+    async with world(peer) as w:
+        odd = {"Transfer-Coding": "chunked", "X-Odd": "\xff", "Upgrade": "h2c", "Cookie": "user=7"}
+        assert (await w.ask(**odd)).status == 200
+        assert set(peer.exchanges[0].headers) == {
+            "host", "x-request-id", "x-tenant-id", "x-timeout-ms", "cookie", "content-length"}
+
+
 @pytest.mark.parametrize("raw", [b"\x16\x03\x01\x02\x00\r\n\r\n", b"POST /tour HTTP/1.1\r\nHost x\r\n\r\n"])
 @story
 async def test_malformed_http_is_answered_400(raw):
--- a/yewrill/__main__.py
+++ b/yewrill/__main__.py
@@ -25,7 +25,7 @@
     except ConfigError as error:
         print(f"yewrill: {error}", file=sys.stderr)
         return 2
-    return serve(config, os.environ.get("YEWRILL_LOG", "INFO"))
+    return serve(config, os.environ.get("YEWRILL_LOG", "INFO"), lambda: load_config(path, os.environ))
 
 
 if __name__ == "__main__":
--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -53,7 +53,7 @@
         config = load_config(path, os.environ)
     except ConfigError as error:
         _fail(error)
-    sys.exit(run(config, log_level))
+    sys.exit(run(config, log_level, lambda: load_config(path, os.environ)))
 
 
 @main.command()
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +64,14 @@
     idle_close_ms: float = 10000.0
 
 
+# Where the file has what is named otherwise here.
+_KEY_OF = {
+    "places": "settings.areas or settings.kinds", "connect_timeout_ms": "settings.limits.connect_timeout",
+    "idle_close_ms": "settings.limits.idle_close", "answer_margin_ms": "timing.answer_margin_ms",
+    "linger_ms": "timing.linger_ms",
+}
+
+
 # ------------------------------------------------------------------------------------------- checked values
 
 
@@ -290,6 +298,12 @@
     )
 
 
+def differing(before: Config, now: Config) -> list[str]:
+    """The keys of the file in which two configurations differ, but for those that only a start uses."""
+    return [_KEY_OF.get(f.name, f.name) for f in fields(Config)
+            if f.name not in ("known", "seed") and getattr(before, f.name) != getattr(now, f.name)]
+
+
 def load_config(path: str | Path, environment: Mapping[str, str] | None = None) -> Config:
     """Read and check a configuration file."""
     try:
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,19 +19,27 @@
 Carried = Callable[[], Awaitable[Answer | None]]
 Closing = Callable[[], bool]  # whether connections are to be closed after their answer
 
-MAX_ID = 256
-# Not passed on: they concern one connection, or are written anew.
-_HOP = frozenset((
-    b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"expect",
-    b"proxy-connection", b"content-length", b"x-timeout-ms", b"accept", b"host",
-))
+MAX_TARGET = 2048
+# The headers that are passed on, and the form that each must have. A destination closes its connection on
+# what it can't read, which would count against the destination: so nothing else gets there.
+_ID = re.compile(r"[A-Za-z0-9._~:/+=@-]{1,128}")
+_NAME = re.compile(r"[!-~]{1,128}")
+_TEXT = re.compile(r"[ -~]{1,1024}")
+_PASSED = {
+    b"x-request-id": _ID, b"idempotency-key": _ID, b"x-priority-class": _NAME, b"x-tenant-id": _TEXT,
+    b"x-retried": _NAME, b"x-attrs": _TEXT, b"x-cost": _NAME, b"cookie": _TEXT, b"content-type": _TEXT,
+}
+# RFC 3986: a path and a query of plain characters.
+_TARGET = re.compile(r"/(?:[A-Za-z0-9._~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*"
+                     r"(?:\?(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*)?")
+
+
+# Python's own float() also takes spaces, underscores and words, which a destination may not.
+_NUMBER = re.compile(r"[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]{1,3})?")
 
 
 def _number(text: str, what: str, low: float, high: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
+    value = float(text) if _NUMBER.fullmatch(text) else math.nan
     if not low <= value <= high:  # not a number fails too
         raise BadRequest(400, f"bad number in {what}")
     return value
@@ -47,9 +56,13 @@
 
     def job_class(self, request: Request) -> int:
         """The class; 404 and 405 come before any look at the headers."""
-        first = request.target.partition("?")[0].lstrip("/").partition("/")[0]
+        first = request.target.partition("?")[0][1:].partition("/")[0]
         if first not in self._classes:
             raise BadRequest(404, "no such path")
+        if len(request.target) > MAX_TARGET:
+            raise BadRequest(414, "target too long")
+        if not _TARGET.fullmatch(request.target):
+            raise BadRequest(400, "malformed target")
         if request.method != "POST":
             raise BadRequest(405, "POST only", (("Allow", "POST"),))
         named = request.one(b"x-priority-class")
@@ -62,16 +75,16 @@
     def operation(self, request: Request, now: float) -> Operation:
         """`now` is the time at which the request's first byte was read, on the module's clock."""
         job_class = self.job_class(request)
+        request.passed = self._passed(request)
         id = request.one(b"x-request-id")
-        if not id or len(id) > MAX_ID or not id.isprintable():
-            raise BadRequest(400, "X-Request-ID is missing or no plain id")
+        if not id:
+            raise BadRequest(400, "X-Request-ID is missing")
         tenant = 0
         if self._tenants:
             name = request.one(b"x-tenant-id")
             if name not in self._tenants:
                 raise BadRequest(400, "unknown tenant in X-Tenant-Id")
             tenant = self._tenants[name]
-        request.one(b"idempotency-key")
         patience = request.one(b"x-timeout-ms")
         if patience is None:
             wait = self.settings.classes[job_class].deadline
@@ -95,6 +108,18 @@
             payload=request,
         )
 
+    @staticmethod
+    def _passed(request: Request) -> list[tuple[bytes, bytes]]:
+        """The headers that go on to a destination, each there once and of its form."""
+        passed = []
+        for name, form in _PASSED.items():
+            value = request.one(name)
+            if value is not None:
+                if not form.fullmatch(value):
+                    raise BadRequest(400, f"malformed {name.decode()}")
+                passed.append((name, value.encode()))
+        return passed
+
     @staticmethod
     def _figures(text: str | None) -> dict[str, float]:
         figures: dict[str, float] = {}
@@ -106,16 +131,16 @@
                 raise BadRequest(400, "malformed X-Attrs")
             if name in ("width", "slots", "memory", "expected"):
                 figures[name] = _number(value, f"X-Attrs {name}", 0, 1e9)
-            else:
-                figures[name] = 0.0  # a figure the module has no use for
+            else:  # a figure the module has no use for, but the destination may
+                figures[name] = _number(value, f"X-Attrs {name}", -1e18, 1e18)
         return figures
 
 
 def passed_on(step: RouteStep, wait_ms: int, accept: str = "") -> tuple[str, str, list[tuple], bytes]:
-    """The client's request as it goes to a destination: only what concerns the connection is new."""
+    """The client's request as it goes to a destination: what was checked is as it came, the rest is new."""
     request: Request = step.operation.payload
     headers: list[tuple] = [("Host", "destination")]
-    headers += [pair for pair in request.headers if pair[0] not in _HOP]
+    headers += request.passed
     headers.append(("X-Timeout-Ms", str(wait_ms)))
     if accept:
         headers.append(("Accept", accept))
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -33,6 +33,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
     arrived: float = 0.0  # when its first byte was read, on the loop's clock
+    passed: list[tuple[bytes, bytes]] = field(default_factory=list)  # the checked headers that go on
 
     def one(self, name: bytes) -> str | None:
         """A header's value, None if absent. One given twice is ambiguous, so it is a bad request."""
@@ -53,6 +54,23 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
+# Framing headers under another spelling: h11 takes them for headers of no concern, someone else might not.
+_FRAMING = {b"content-length", b"transfer-encoding"}
+
+
+def check_framing(event: h11.Request) -> None:
+    """Refuse a request whose end others may see elsewhere than h11 does: its body may hide a second one."""
+    if event.http_version not in (b"1.0", b"1.1"):
+        raise BadRequest(505, "unsupported HTTP version")
+    names = {name for name, _ in event.headers}
+    if names >= _FRAMING:
+        raise BadRequest(400, "Content-Length with Transfer-Encoding")
+    if b"transfer-encoding" in names and event.http_version == b"1.0":
+        raise BadRequest(400, "Transfer-Encoding in HTTP/1.0")
+    if any(b"_" in name and name.replace(b"_", b"-") in _FRAMING for name in names):
+        raise BadRequest(400, "misspelt framing header")
+
+
 class ServerSide:
     """The parser's state of one client connection."""
 
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -12,7 +12,7 @@
 
 from yewrill.facade import Operation
 from yewrill.net.connection import NO_DESCRIPTORS, Connection, Quiet
-from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request, ServerSide
+from yewrill.net.http import MAX_BODY, BadRequest, Reply, Request, ServerSide, check_framing
 
 log = logging.getLogger("yewrill.clients")
 
@@ -95,6 +95,7 @@
                 self.http.feed(data)
             elif isinstance(event, h11.Request):
                 self.idle = False
+                check_framing(event)
                 request = Request(event.method.decode("ascii"), event.target.decode("ascii"),
                                   list(event.headers), arrived=self.first_byte or trio.current_time())
                 lengths = [value for name, value in event.headers if name == b"content-length"]
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -67,38 +67,64 @@
             self._decisions.pool_config(destinations, full=full, cached=cached)
 
 
-async def watch(address: tuple[str, int], pool: PoolConfig) -> None:
-    """Keep the pool config fresh for good. Discovery may be silent, gone or talk nonsense meanwhile."""
-    side: ClientSide | None = None
-    whole = True  # the list known at start may be old: begin with all of it
-    quiet = False
-    while True:
+class Watch:
+    """Keeps the pool config fresh for good, whether discovery is silent, gone, talks nonsense or moves."""
+
+    def __init__(self, address: tuple[str, int], pool: PoolConfig):
+        self.address = address
+        self._pool = pool
+        self._scope = trio.CancelScope()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address at once, even from within a held call, and take the whole list there."""
+        if address != self.address:
+            self.address = address
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        while True:
+            self._scope = trio.CancelScope()
+            with self._scope:
+                await self._follow(self.address)
+
+    async def _follow(self, address: tuple[str, int]) -> None:
+        pool = self._pool
+        side: ClientSide | None = None
+        whole = True  # the list known before may be old: begin with all of it
+        quiet = False
         try:
-            with trio.fail_after(PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
-                if side is None:
-                    side = ClientSide(await Connection.open(address, ring=65536))
-                target = PATH if whole else f"{PATH}?from={pool.version}&hold_ms={HOLD_MS}"
-                await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
-                response = await side.response()
-                body = await side.body(MOST)
-            if response.status_code != 200:
-                raise ConfigError(f"discovery: status {response.status_code}")
-            answer = ujson.loads(body)
-            pool.apply(answer)
-            whole = False
-            if quiet:
-                log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
-                quiet = False
-            if not side.settled():
-                side.connection.close()
-                side = None
-        except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError, trio.TooSlowError) as error:
-            if not quiet:
-                log.warning("discovery-lost version=%d: %s %s", pool.version, type(error).__name__, error)
-                quiet = True
-            if isinstance(error, (ConfigError, ValueError)):
-                whole = True  # nonsense among the changes: only the whole list can be trusted again
+            while True:
+                try:
+                    with trio.fail_after(PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
+                        if side is None:
+                            side = ClientSide(await Connection.open(address, ring=65536))
+                        target = PATH if whole else f"{PATH}?from={pool.version}&hold_ms={HOLD_MS}"
+                        await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
+                        response = await side.response()
+                        body = await side.body(MOST)
+                    if response.status_code != 200:
+                        raise ConfigError(f"discovery: status {response.status_code}")
+                    answer = ujson.loads(body)
+                    pool.apply(answer)
+                    whole = False
+                    if quiet:
+                        log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
+                        quiet = False
+                    if not side.settled():
+                        side.connection.close()
+                        side = None
+                except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError,
+                        trio.TooSlowError) as error:
+                    if not quiet:
+                        log.warning("discovery-lost version=%d: %s %s", pool.version,
+                                    type(error).__name__, error)
+                        quiet = True
+                    if isinstance(error, (ConfigError, ValueError)):
+                        whole = True  # nonsense among the changes: only the whole list can be trusted again
+                    if side is not None:
+                        side.connection.close()
+                        side = None
+                    await trio.sleep(RETRY)
+        finally:
             if side is not None:
                 side.connection.close()
-                side = None
-            await trio.sleep(RETRY)
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -7,11 +7,12 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import trio
 
-from yewrill.config import Config
+from yewrill.config import Config, ConfigError, differing
 from yewrill.core import carry
 from yewrill.facade import Decisions
 from yewrill.fronts.platform import PlatformFront, Reader
@@ -19,23 +20,27 @@
 from yewrill.net.destinations import DestinationPool
 from yewrill.net.http import BadRequest, Reply, Request
 from yewrill.net.listener import Client, Listener
-from yewrill.net.poolconfig import PoolConfig, watch
+from yewrill.net.poolconfig import PoolConfig, Watch
 
 log = logging.getLogger("yewrill")
 
 FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
+# What a reload changes; all else stands for as long as the program runs.
+RELOADED = ("discovery", "answer_margin_ms", "linger_ms")
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
 
 
 class Service:
-    def __init__(self, config: Config):
+    def __init__(self, config: Config, load: Callable[[], Config] | None = None):
         self.config = config
+        self._load = load  # reads the configuration anew
         self.draining = False
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
+        self.watch = Watch(config.discovery, self.pool)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
         sockets = config.limits.sockets - SPARE
         self.destinations = DestinationPool(
@@ -57,7 +62,7 @@
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
                      *self.listener.address, self.config.front, len(self.pool))
             # After that line, so that the log tells of the start first and of a silent discovery second.
-            nursery.start_soon(_keep, watch, self.config.discovery, self.pool)
+            nursery.start_soon(_keep, self.watch.run)
             task_status.started(self)
             # What start-up left behind stays for good: the collector need not look at it again.
             gc.collect()
@@ -70,14 +75,32 @@
 
     async def _on_signal(self, nursery: trio.Nursery,
                          task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
             task_status.started()
             async for number in received:
-                if not self.draining:
+                if number == signal.SIGHUP:
+                    self.reload()
+                elif not self.draining:
                     log.info("draining signal=%s clients=%d", signal.Signals(number).name,
                              len(self.listener.clients))
                     nursery.start_soon(self.drain)
 
+    def reload(self) -> None:
+        """Read the configuration anew and take up what can change while serving; the rest stays as it is."""
+        if self._load is None:
+            return
+        try:
+            config = self._load()
+        except Exception as error:  # whatever is wrong with the file, the one that served so far goes on
+            log.error("reload-refused %s", error if isinstance(error, ConfigError) else repr(error))
+            return
+        self.config = taken = replace(self.config, **{key: getattr(config, key) for key in RELOADED})
+        self.front.reader.margin = taken.answer_margin_ms
+        self.watch.move(taken.discovery)
+        log.info("reloaded discovery=%s:%d", *taken.discovery)
+        if others := differing(taken, config):
+            log.warning("reload-ignored keys=%s: a restart takes them up", ",".join(others))
+
     async def drain(self) -> None:
         """Stop being ready, take what still comes for a while, then close the listener."""
         self.draining = True
@@ -126,20 +149,21 @@
             await trio.sleep(AFTER_FAULT)
 
 
-def serve(config: Config, level: str = "INFO") -> int:
-    """Run the service in the foreground; its log goes to standard error."""
+def serve(config: Config, level: str = "INFO", load: Callable[[], Config] | None = None) -> int:
+    """Run the service in the foreground; its log goes to standard error. SIGHUP reads anew with `load`."""
     logging.basicConfig(stream=sys.stderr, level=level,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload must not end us
     try:
-        service_run(config)
+        service_run(config, load)
     except OSError as error:
         log.error("can't-start: %s", error)
         return 1
     return 0
 
 
-def service_run(config: Config) -> None:
+def service_run(config: Config, load: Callable[[], Config] | None = None) -> None:
     async def main() -> None:
-        await Service(config).run()
+        await Service(config, load).run()
 
     trio.run(main)
