Serve kept connections through the grace after SIGTERM, and answer all before its end

The log: SIGTERM at 3.5 s, drained at 4.9 s, ready again at 8.0 s: the platform restarts at the end of the grace, however early the program leaves. Checked: service.drain closed every idle connection 0.7 s after SIGTERM, and every answer since SIGTERM bore 'Connection: close', so clients had nowhere to go. A trace of the requests taken while draining shows clients using kept connections until 4.5 s, when the front stops routing; nothing comes after that, so what is still lost until 8.0 s is not ours to win. Ruled out: slow start (0.2 s). Changed: Service.drain and Listener.stop_accepting/close; timing.grace_ms (default by the platform's rule); what is open 0.25 s before the end fails instead of being reset (1 or 2 operations a restart).

--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -60,6 +60,7 @@
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
     linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
+    grace_ms: float = 3700.0  # after SIGTERM, when the program must be gone
     connect_timeout_ms: float = 150.0
     idle_close_ms: float = 10000.0
 
@@ -68,7 +69,7 @@
 _KEY_OF = {
     "places": "settings.areas or settings.kinds", "connect_timeout_ms": "settings.limits.connect_timeout",
     "idle_close_ms": "settings.limits.idle_close", "answer_margin_ms": "timing.answer_margin_ms",
-    "linger_ms": "timing.linger_ms",
+    "linger_ms": "timing.linger_ms", "grace_ms": "timing.grace_ms",
 }
 
 
@@ -253,7 +254,7 @@
     default = Limits()
     timing = _object(raw.get("timing", {}), "timing")
     for key in timing:
-        if key not in ("answer_margin_ms", "linger_ms"):
+        if key not in ("answer_margin_ms", "linger_ms", "grace_ms"):
             raise ConfigError(f"timing.{key}: no such key")
     for key in raw:
         if key not in known_keys and not key.startswith("x-"):
@@ -277,6 +278,10 @@
     shortest = min(c.deadline for c in settings.classes)
     if margin * 2 > shortest:
         raise ConfigError(f"timing.answer_margin_ms: {margin:g} is more than half of the shortest deadline")
+    linger = _number(timing.get("linger_ms", 700.0), "timing.linger_ms", 0.0, 60000.0)
+    # The platform's own rule: the longest deadline, at most 3 s of it, and 0.7 s more.
+    grace = max(min(max(c.deadline for c in settings.classes), 3000.0) + 700.0, linger)
+    grace = _number(timing.get("grace_ms", grace), "timing.grace_ms", linger, 600000.0)
     return Config(
         listen=read_address(raw["listen"], "listen", any_port=True),
         discovery=read_address(raw["discovery"], "discovery"),
@@ -292,7 +297,8 @@
         known=raw.get("known"),
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
         answer_margin_ms=margin,
-        linger_ms=_number(timing.get("linger_ms", 700.0), "timing.linger_ms", 0.0, 60000.0),
+        linger_ms=linger,
+        grace_ms=grace,
         connect_timeout_ms=raw_limits.get("connect_timeout", 150.0),
         idle_close_ms=raw_limits.get("idle_close", 10000.0),
     )
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -192,6 +192,15 @@
             if operation.chosen is not None:
                 operation.chosen.set()
 
+    def give_up(self) -> None:
+        """The program ends: every operation that is still open fails, and its attempt with it."""
+        for operation in list(self._operations.values()):
+            if not operation.closed:
+                self._close(operation, tell=True)
+                if operation.live is not None:
+                    operation.live.withdraw(Ending.CALLED_OFF)
+                self._choose(operation, Failure("restarting"))
+
     def pool_config(self, destinations: Iterable[Destination], *, full: bool, cached: bool = False) -> None:
         """What discovery tells."""
         form = api.LIST_CACHED if cached else api.LIST_FULL if full else api.LIST_CHANGES
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -19,6 +19,7 @@
 BACKLOG = 1024
 REQUEST_TIME = 10.0  # seconds from a request's first byte to its last
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
+PART_TIME = 0.2  # seconds for a client to take its last reply and close
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
 
 
@@ -149,13 +150,14 @@
         self._freed = trio.Event()
         self._short = False  # the last accept found no descriptor
         self._nursery: trio.Nursery
-        self.stopping = False  # the listener is closed: idle connections go
+        self.accepting = True
+        self.stopping = False  # idle connections go, the others once they are answered
 
     async def run(self) -> None:
         """Accept until `close`, then return once every client is done with."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while not self.stopping:
+            while self.accepting:
                 try:
                     await trio.lowlevel.wait_readable(self.sock)
                 except trio.ClosedResourceError:
@@ -163,7 +165,7 @@
                 await self._accept_some()
 
     async def _accept_some(self) -> None:
-        while not self.stopping:
+        while self.accepting:
             if len(self.clients) >= self._most and not self._evict():
                 log.warning("clients-full open=%d: new ones wait in the backlog", len(self.clients))
                 self._freed = trio.Event()
@@ -210,15 +212,25 @@
         self.clients.discard(client)
         self._freed.set()
 
-    def close(self) -> None:
-        """Take what the backlog still holds, close the listener, let idle clients go."""
-        self.stopping = True
+    def stop_accepting(self) -> None:
+        """Take what the backlog still holds and close the listener. Open connections go on."""
+        self.accepting = False
         # A bound is kept all the same: whoever is left in the backlog is reset and tries elsewhere.
         while len(self.clients) < self._most and self._accept_one():
             pass
         trio.lowlevel.notify_closing(self.sock)
         self.sock.close()
         self._freed.set()
+
+    async def emptied(self) -> None:
+        """Wait until no client is connected any more."""
+        while self.clients:
+            self._freed = trio.Event()
+            await self._freed.wait()
+
+    def close(self) -> None:
+        """Let idle clients go, and each of the others after its answer."""
+        self.stopping = True
         for client in list(self.clients):
             self._let_go(client)
 
@@ -281,6 +293,6 @@
         """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets."""
         with suppress(OSError):
             client.connection.sock.shutdown(socket.SHUT_WR)
-        with trio.move_on_after(0.5):
+        with trio.move_on_after(PART_TIME):
             while not client.gone and await client.receive():
                 pass
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -27,7 +27,9 @@
 FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
 # What a reload changes; all else stands for as long as the program runs.
-RELOADED = ("discovery", "answer_margin_ms", "linger_ms")
+RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms")
+# Before the end of the grace that SIGTERM leaves: until when, in ms, requests are taken, and answers wait.
+LAST_REQUEST, LAST_ANSWER = 900.0, 250.0
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
@@ -37,7 +39,8 @@
     def __init__(self, config: Config, load: Callable[[], Config] | None = None):
         self.config = config
         self._load = load  # reads the configuration anew
-        self.draining = False
+        self.draining = False  # not ready any more
+        self.leaving = False  # connections close after their answer
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
         self.watch = Watch(config.discovery, self.pool)
@@ -102,10 +105,21 @@
             log.warning("reload-ignored keys=%s: a restart takes them up", ",".join(others))
 
     async def drain(self) -> None:
-        """Stop being ready, take what still comes for a while, then close the listener."""
+        """Stop being ready; take new connections for a while; serve the open ones for as long as there is
+        time to answer; and give whatever is then left its final answer before the platform kills us."""
         self.draining = True
-        await trio.sleep(self.config.linger_ms / 1000.0)
+        began = trio.current_time()
+        config = self.config
+        await trio.sleep_until(began + config.linger_ms / 1000.0)
+        self.listener.stop_accepting()
+        with trio.move_on_at(began + max(config.linger_ms, config.grace_ms - LAST_REQUEST) / 1000.0):
+            await self.listener.emptied()
+        self.leaving = True
         self.listener.close()
+        await trio.sleep_until(began + (config.grace_ms - LAST_ANSWER) / 1000.0)
+        if self.decisions.pending:
+            log.warning("last-call open=%d", self.decisions.pending)
+            self.decisions.give_up()
 
     # -- one exchange
 
@@ -125,10 +139,10 @@
             try:
                 return await self.front.respond(
                     client, operation, lambda: carry(operation, self.decisions, self.destinations.attempt),
-                    lambda: self.draining)
+                    lambda: self.leaving)
             finally:
                 client.operation = None
-        close = self.draining
+        close = self.leaving
         return await client.send(client.http.whole(reply, close)) and not close
 
     def _ready(self) -> Reply:
