Guess five slots until starts tell, use empty workers, cap a worker that keeps a job waiting

Nothing lowered a worker's room when it let jobs wait, but for 'full'. Tests: each of the three seen to fail with its line taken out.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -299,9 +299,9 @@
     assert (worker.kind.slots > 4.0) is learned and worker.running == len(d.attempts)
 
 
-def in_trouble(**more):
+def in_trouble(aim=1000.0, **more):
     """A dispatcher before two workers that tell of starts."""
-    d = Dispatcher(Settings(classes=[api.JobClass("c", 1000.0, 9000.0)], tells_start=True, max_attempts=4,
+    d = Dispatcher(Settings(classes=[api.JobClass("c", aim, 9000.0)], tells_start=True, max_attempts=4,
                             may_cancel=True, **more), 1)
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w1"), api.WorkerEntry("w2")])])
     return d
@@ -367,3 +367,26 @@
     assert probes == ["w1"]
     d.handle(400.0, [api.ProbeEnded("w1", api.SERVED)])
     assert d.workers["w1"].blocked <= 400.0
+
+
+def test_the_first_jobs_of_a_dispatcher_that_knows_no_slots_go_out_at_once_wide_ones_too():
+    # A restarted dispatcher must not refuse its first seconds' jobs while it learns how many slots there are.
+    d = in_trouble(aim=200.0)
+    d.residual = 2000.0  # a job without a slot would wait too long
+    out = d.handle(1.0, [api.JobArrived("wide", 0, 9001.0, width=8.0)])
+    out += d.handle(2.0, [api.JobArrived(f"j{i}", 0, 9002.0) for i in range(5)])
+    assert len([a for a in out if isinstance(a, api.Send)]) == 6
+
+
+@pytest.mark.parametrize("width, capped", [(1.0, True), (4.0, False)])
+def test_a_worker_that_keeps_a_job_waiting_gets_no_more_than_it_runs(width, capped):
+    d = in_trouble(aim=200.0)
+    w = d.workers["w1"]
+    for i in range(2):
+        send(d, f"j{i}", 1.0, "w1")
+        d.handle(2.0, [api.AttemptStarted(f"j{i}", 0, "w1")])
+    d.workers["w2"].blocked = 1e9
+    d.handle(3.0, [api.JobArrived("waits", 0, 9003.0, width=width)])
+    assert w.unstarted == 1
+    d.handle(100.0, [api.JobArrived("next", 0, 9100.0)])
+    assert (w.cap == 3.0) is capped
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -37,6 +37,7 @@
 SHARE_MEMORY = 30000.0  # how slowly this dispatcher's part of a tenant's share is learned
 QUEUE_PART = 0.3  # the part of the tightest time constraint that a job may queue at a worker from the first
 LATE_IDLE = 0.3  # jobs are served late only while this share of the slots is thought free
+SLOTS_GUESS = 5.0  # slots of a worker until start notices tell: too few cost every job of the first seconds
 MISSING = 60.0  # a start notice later than this means that the job waits at the worker
 REORDERED = 20.0  # attempts sent within this time of each other may reach a worker in another order
 OVERTAKEN = 25.0  # a job sent before one that started this long ago, and not started itself, is lost
@@ -297,7 +298,8 @@
         self.inflight = 0.0  # slots held by our attempts, lost ones included for their expected time
         self.free = 0.0  # free slots by its last report, less what was sent since
         self.free_at = -1e18
-        self.cap = 2.0  # most slots of it we fill: a restarted dispatcher's lost jobs may still run there
+        # Most slots of it we fill. A restarted dispatcher's lost jobs may still run there.
+        self.cap = kind.slots + 1.0
         self.unstarted = 0  # attempts out whose start was not told
         self.running = 0.0  # slots of our attempts whose start was told
         self.queue: list[Attempt] = []  # attempts whose start was not told, in the order of their sends
@@ -391,6 +393,9 @@
         self.subscribed = False
         # Without load reports, start notices alone tell how many slots a worker has.
         self.slots_by_starts = settings.tells_start and not settings.report_fields
+        if self.slots_by_starts:
+            for kind in self.kinds:
+                kind.slots = kind.free = SLOTS_GUESS
         self.watch_fails = 0
         self.cross_fee = settings.fees.get("cross_zone", 0.0)
         self.mean_worth = sum(c.worth for c in settings.classes) / len(settings.classes)
@@ -666,6 +671,8 @@
             drain = self.residual / w.kind.slots
             room = self._room(w, now)
             spare = room - need
+            if w.inflight <= 0.0 and self.slots_by_starts:
+                spare = max(spare, 0.0)  # nothing of ours is there: no place is better, however wide the job
             # Exception to waiting for a free slot: what is known of slots is stale, so a job may queue at a
             # worker for part of the tightest time constraint, more of it the less slack is left.
             wait = drain * (0.5 - spare if spare < 0 else 0.5 / (1.0 + spare))
@@ -825,6 +832,8 @@
             running = w.running * self.settings.dispatchers
             if w.unstarted > 1 or now > self.wary or running > 0.5 * w.kind.slots:
                 room = min(room, 0.0) - w.unstarted
+                if w.queue[0].job.need <= 1.0 <= w.running:
+                    w.cap = min(w.cap, w.running + 1.0)  # as 'full' tells; a wide head may just not fit
         return room
 
     def _ratio(self, w: Worker, now: float) -> float:
