Bad clients: 2.5 s to ask, silent ones give way first, one request at a time, 409 for ids in use

Checked: listener._evict took the longest idle connection; with the table full of halves of requests (10 s each by REQUEST_TIME, and not idle) the only idle one was the newcomer, whose request had not been read yet. A connection that said nothing was never timed. Each connection had a nursery and a reading task, used or not. What stood behind a request was served in turn, and an id in use went to a second attempt. Ruled out: descriptors (622 of 1024), memory (32 MB). Changed: listener (times, _evict, read-ahead only while an operation is under way, pipelining refused), service (409), platform front decides once whether it closes. Tests: each seen to fail with its rule switched off.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+from contextlib import suppress
 
 import pytest
 import trio
@@ -12,6 +13,7 @@
 from yewrill import interface as api
 from yewrill.ending import Ending
 from yewrill.facade import BusyReply, Decisions, Destination, Operation, RouteStep
+from yewrill.net import listener
 from yewrill.net.connection import Connection
 
 
@@ -562,6 +564,86 @@
         assert await clients[0].stream.receive_some() == b""
 
 
+FRONTS = pytest.mark.parametrize("front", ["platform", "progress"])
+
+
+@FRONTS
+@story
+async def test_silence_and_half_a_request_end_in_time_and_a_kept_connection_does_not(front, monkeypatch):
+    monkeypatch.setattr(listener, "REQUEST_TIME", 0.15)
+    async with world(Peer("d1", done), front=front) as w:
+        kept, silent, half = await w.client(), await w.client(), await w.client()
+        await kept.ask("/up", method="GET")
+        await half.stream.send_all(OUTER + b"Content-Length: 5\r\n\r\nab")
+        began = trio.current_time()
+        for client in (half, silent):
+            assert (await client.reply()).status == 408
+            assert await client.stream.receive_some() == b""
+        assert trio.current_time() - began < 1.0
+        assert (await kept.ask("/up", method="GET")).status == 200
+
+
+@FRONTS
+@story
+async def test_a_flood_of_silent_connections_takes_no_place_from_those_that_work(front, monkeypatch):
+    monkeypatch.setattr(listener, "SETTLED", 0.05)
+    async with world(Peer("d1", done), front=front, limits={"sockets": 80}) as w:
+        kept = await w.client()
+        if front == "platform":
+            assert (await kept.ask()).status == 200
+        flood = []
+        for i in range(4):
+            flood += [await w.client() for _ in range(40)]
+            # Whoever comes behind them has its answer, and is not the one to give way.
+            assert (await w.ask(X_Request_ID=f"n{i}")).status == 200
+            assert len(w.service.listener.clients) <= 22
+        if front == "platform":
+            assert (await kept.ask(X_Request_ID="r2")).status == 200
+
+
+@FRONTS
+@story
+async def test_many_requests_at_once_on_a_connection_are_refused_before_the_core(front):
+    peer = Peer("d1", done)
+    async with world(peer, front=front) as w:
+        stream = await trio.open_tcp_stream(*w.service.listener.address)
+        await stream.send_all((OUTER + b"Content-Length: 0\r\n\r\n") * 200)
+        reply = b""
+        with suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some():
+                reply += data
+        assert reply.startswith(b"HTTP/1.1 400 ") and reply.count(b"HTTP/1.1 ") == 1
+        assert not peer.exchanges
+
+
+@FRONTS
+@story
+async def test_an_id_in_use_at_a_client_or_a_destination_is_refused_and_its_holder_is_untouched(front):
+    async def when_told(exchange):
+        exchange.go_on = trio.Event()
+        await exchange.go_on.wait()
+        await exchange.done()
+
+    peer = Peer("d1", when_told)
+    async with world(peer, front=front) as w:
+        holder = await w.client()
+        await holder.send()
+        await w.until(lambda: peer.exchanges)
+        assert (await w.ask()).status == 409
+        peer.exchanges[0].go_on.set()
+        assert (await holder.reply()).status == 200
+        left = await w.client()
+        await left.send(X_Request_ID="r2")
+        await w.until(lambda: len(peer.exchanges) == 2)
+        await left.stream.aclose()
+        assert (await w.ask(X_Request_ID="r2")).status == 409  # its attempt is still out
+        assert [e.id for e in peer.exchanges] == ["r1", "r2"]
+        peer.exchanges[1].go_on.set()
+        await w.until(lambda: not w.service.decisions._live)
+        peer.script = done
+        assert (await w.ask(X_Request_ID="r2")).status == 200
+
+
 @story
 async def test_pick_report_tick_without_any_sockets():
     settings = api.Settings(classes=[api.JobClass("c", 500.0, 1000.0)], max_attempts=2)
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -208,7 +208,8 @@
         answer = await carried()
         if answer is None or client.gone:
             return False
-        return await client.send(client.http.whole(self.reply(answer), closing())) and not closing()
+        close = closing()
+        return await client.send(client.http.whole(self.reply(answer), close)) and not close
 
     def reply(self, answer: Answer) -> Reply:
         if isinstance(answer, Served):
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -4,8 +4,9 @@
 
 import logging
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from heapq import nsmallest
 
 import h11
 import trio
@@ -17,14 +18,18 @@
 log = logging.getLogger("yewrill.clients")
 
 BACKLOG = 1024
-REQUEST_TIME = 10.0  # seconds from a request's first byte to its last
+# Seconds for a request to be whole, from its first byte, or the connection's beginning for the first one:
+# whoever says nothing, or half of something, has its error or its close within 3 s.
+REQUEST_TIME = 2.5
+SETTLED = 0.2  # seconds after which a connection that has asked for nothing yet may give way to a new one
+PART_BYTES = 64 * 1024  # read after the last reply, so that it arrives; what else is sent is left unread
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
 PART_TIME = 0.2  # seconds for a client to take its last reply and close
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
 
 
 class Client:
-    """A client's connection, read ahead so that its end is seen while an operation is under way."""
+    """A client's connection, read ahead while an operation is under way, so that its end is seen."""
 
     def __init__(self, connection: Connection):
         self.connection = connection
@@ -32,28 +37,33 @@
         self.operation: Operation | None = None
         self.on_left: Callable[[Operation], None] = lambda operation: None
         self.gone = False
-        self.idle = True  # between requests
-        self.idle_since = trio.current_time()
+        self.answering = False  # a whole request is under way
+        self.proven = False  # an operation of its has been carried
+        self.since = self.opened = trio.current_time()  # since when it has nothing under way
         self.first_byte = 0.0
-        self._news = trio.Event()
-        self._space = trio.Event()
 
-    async def read_ahead(self) -> None:
-        ring = self.connection.inbound
+    async def _read_ahead(self, scope: trio.CancelScope, ended: trio.Event) -> None:
+        """A full ring is left alone: its owner is off the protocol."""
         try:
-            while not self.gone:
-                if not ring.room:
-                    self._space = trio.Event()
-                    await self._space.wait()
-                    continue
-                if not await self.connection.fill():
-                    break
-                if self.idle and not self.first_byte:
-                    self.first_byte = trio.current_time()
-                self._news.set()
+            with scope:
+                while not self.gone and self.connection.inbound.room:
+                    await self._fill()
+        finally:
+            ended.set()
+
+    async def _fill(self) -> None:
+        try:
+            if not await self.connection.fill():
+                self.leave()
+            elif not self.answering and not self.first_byte:
+                self.first_byte = trio.current_time()
         except OSError:
-            pass
-        self.leave()
+            self.leave()
+
+    @property
+    def ahead(self) -> bool:
+        """Whether it has sent on before its answer, which clients of the protocol don't."""
+        return bool(len(self.connection.inbound) or self.http.parser.trailing_data[0].strip())
 
     def leave(self) -> None:
         """The client has gone away, or is being let go."""
@@ -62,22 +72,16 @@
             if self.operation is not None:
                 self.on_left(self.operation)
             self.connection.close()
-            self._news.set()
 
     async def readable(self) -> None:
         """Wait until bytes have come or the client is gone."""
         while not len(self.connection.inbound) and not self.gone:
-            self._news = trio.Event()
-            await self._news.wait()
+            await self._fill()
 
     async def receive(self) -> bytes:
         """The next bytes; empty once the client is gone."""
         await self.readable()
-        if self.gone:
-            return b""
-        data = self.connection.inbound.take()
-        self._space.set()
-        return data
+        return b"" if self.gone else self.connection.inbound.take()
 
     async def request(self) -> Request | None:
         """The next whole request; None when the client has gone. Raises BadRequest."""
@@ -92,10 +96,8 @@
                 data = await self.receive()
                 if not data:
                     return None
-                self.idle = False
                 self.http.feed(data)
             elif isinstance(event, h11.Request):
-                self.idle = False
                 check_framing(event)
                 request = Request(event.method.decode("ascii"), event.target.decode("ascii"),
                                   list(event.headers), arrived=self.first_byte or trio.current_time())
@@ -112,12 +114,24 @@
             else:  # h11.ConnectionClosed or PAUSED: no request can follow
                 return None
 
+    @asynccontextmanager
+    async def watched(self, nursery: trio.Nursery) -> AsyncIterator[None]:
+        """Read ahead in the meantime."""
+        scope, ended = trio.CancelScope(), trio.Event()
+        nursery.start_soon(self._read_ahead, scope, ended)
+        try:
+            yield
+        finally:
+            scope.cancel()
+            with trio.CancelScope(shield=True):  # a moment only: two must not read at once
+                await ended.wait()
+
     def next_cycle(self) -> None:
         self.http.parser.start_next_cycle()
-        self.idle = True
-        self.idle_since = trio.current_time()
+        self.answering = False
+        self.since = trio.current_time()
         # What has been read ahead already is the next request: its time runs from now at the latest.
-        self.first_byte = self.idle_since if len(self.connection.inbound) else 0.0
+        self.first_byte = self.since if len(self.connection.inbound) else 0.0
 
     async def send(self, data: bytes) -> bool:
         """Write, within a limit of time; False if the client is gone or does not take it."""
@@ -149,6 +163,7 @@
         self.clients: set[Client] = set()
         self._freed = trio.Event()
         self._short = False  # the last accept found no descriptor
+        self._full = False  # nobody gives way, and that has been told
         self._nursery: trio.Nursery
         self.accepting = True
         self.stopping = False  # idle connections go, the others once they are answered
@@ -167,10 +182,14 @@
     async def _accept_some(self) -> None:
         while self.accepting:
             if len(self.clients) >= self._most and not self._evict():
-                log.warning("clients-full open=%d: new ones wait in the backlog", len(self.clients))
+                if not self._full:
+                    log.warning("clients-full open=%d: new ones wait in the backlog", len(self.clients))
+                    self._full = True
                 self._freed = trio.Event()
-                await self._freed.wait()
+                with trio.move_on_after(SHORT_PAUSE):  # by then others may have stayed silent for too long
+                    await self._freed.wait()
                 continue
+            self._full = False
             if not self._accept_one():
                 if self._short:
                     self._short = False
@@ -199,13 +218,24 @@
         return True
 
     def _evict(self) -> bool:
-        """Close the client connection that has stood idle longest, as the protocol allows."""
-        idle = min((c for c in self.clients if c.idle and not len(c.connection.inbound)),
-                   key=lambda c: c.idle_since, default=None)
-        if idle is None:
-            return False
-        idle.leave()
-        self._forget(idle)
+        """Have clients give way that have nothing under way. First those that have never had a job carried,
+        after a while, and several at once: of them a flood is made. Then the kept connection that has stood
+        idle for longest, as the protocol allows."""
+        settled = trio.current_time() - SETTLED
+        unproven = [c for c in self.clients if not c.proven and not c.answering]
+        going = nsmallest(max(1, self._most // 32), (c for c in unproven if c.since < settled),
+                          key=lambda c: c.since)
+        if not going and len(unproven) > self._most // 8:
+            return False  # new ones wait the moment until these have had their time
+        if not going:
+            idle = min((c for c in self.clients if c.proven and not c.answering and not c.first_byte),
+                       key=lambda c: c.since, default=None)
+            if idle is None:
+                return False
+            going = [idle]
+        for client in going:
+            client.leave()
+            self._forget(client)
         return True
 
     def _forget(self, client: Client) -> None:
@@ -236,17 +266,12 @@
 
     def _let_go(self, client: Client) -> None:
         # A request that has come but was not read yet is served first.
-        if client.idle and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
+        if not client.answering and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
             client.leave()
 
     async def _serve(self, client: Client) -> None:
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(client.read_ahead)
-                try:
-                    await self._converse(client)
-                finally:
-                    nursery.cancel_scope.cancel()
+            await self._converse(client)
         except Exception:
             log.exception("client-fault")
         finally:
@@ -259,6 +284,10 @@
                 request = await self._next_request(client)
                 if request is None:
                     return
+                if client.ahead:
+                    # Many at once on one connection: refused here, where it costs least.
+                    raise BadRequest(400, "one request at a time on a connection")
+                client.answering = True
                 go_on = await self._handler(client, request)
             except BadRequest as bad:
                 if client.gone or not client.http.can_answer:
@@ -283,9 +312,10 @@
                 self._let_go(client)
 
     async def _next_request(self, client: Client) -> Request | None:
-        if not client.http.parser.trailing_data[0]:
+        first = client.since == client.opened
+        if not first:
             await client.readable()
-        with trio.move_on_after(REQUEST_TIME):
+        with trio.move_on_at((client.opened if first else client.first_byte) + REQUEST_TIME):
             return await client.request()
         raise BadRequest(408, "the request took too long")
 
@@ -293,6 +323,11 @@
         """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets."""
         with suppress(OSError):
             client.connection.sock.shutdown(socket.SHUT_WR)
+        if len(self.clients) > self._most // 2:
+            return  # a flood: its descriptors are needed more than the last word to it
         with trio.move_on_after(PART_TIME):
-            while not client.gone and await client.receive():
-                pass
+            read = 0
+            while not client.gone and read < PART_BYTES:
+                read += len(await client.receive())
+            if not client.gone:
+                await trio.sleep(PART_TIME)
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -43,6 +43,8 @@
         self.leaving = False  # connections close after their answer
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
+        self._open: set[str] = set()  # ids of operations under way, those of clients that have left too
+        self.nursery: trio.Nursery
         self.watch = Watch(config.discovery, self.pool)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
         sockets = config.limits.sockets - SPARE
@@ -58,6 +60,7 @@
             self.pool.apply(dict(self.config.known), cached=True)
         self.decisions.tick()
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
             nursery.start_soon(_keep, self.destinations.keep_tidy)
             if signals:
@@ -135,14 +138,21 @@
                 raise BadRequest(503, "draining")
             now = self.decisions.now() - (trio.current_time() - request.arrived) * 1000.0
             operation = self.front.reader.operation(request, now)
-            client.operation, client.on_left = operation, self.decisions.left
+            if operation.id in self._open:
+                # Still at a client or out at a destination: two of one id can't be told apart there.
+                raise BadRequest(409, "X-Request-ID is in use")
+            self._open.add(operation.id)
+            client.operation, client.on_left, client.proven = operation, self.decisions.left, True
             try:
-                return await self.front.respond(
-                    client, operation, lambda: carry(operation, self.decisions, self.destinations.attempt),
-                    lambda: self.leaving)
+                async with client.watched(self.nursery):
+                    return await self.front.respond(
+                        client, operation,
+                        lambda: carry(operation, self.decisions, self.destinations.attempt),
+                        lambda: self.leaving or client.ahead)
             finally:
                 client.operation = None
-        close = self.leaving
+                self._open.discard(operation.id)
+        close = self.leaving or client.ahead
         return await client.send(client.http.whole(reply, close)) and not close
 
     def _ready(self) -> Reply:
