Take an impatient first try for what it is where clients mark their retries

The requests so refused bore X-Timeout-Ms of 200 to 600 ms where their class allows 5 s, and no X-Retried. decide.Job took any job with less time left than its class's longest patience for a client's late retry, set its due time in the past, and refused it at once. X-Retried was checked by the front and then dropped. Changed: JobArrived.retry from X-Retried and the wire's again_by_client, Settings.marks_retry from client_habits; the guess stays where retries are not marked. Tests: on the module and over sockets on both fronts, seen to fail without the change.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -390,3 +390,12 @@
     assert w.unstarted == 1
     d.handle(100.0, [api.JobArrived("next", 0, 9100.0)])
     assert (w.cap == 3.0) is capped
+
+
+@pytest.mark.parametrize("marked, retry, refused", [(True, False, False), (True, True, True),
+                                                    (False, False, True)])
+def test_an_impatient_first_try_is_no_late_retry_where_retries_are_marked(marked, retry, refused):
+    d = in_trouble(marks_retry=marked)
+    d.handle(1.0, [api.JobArrived("patient", 0, 9001.0)])
+    out = d.handle(2.0, [api.JobArrived("short", 0, 1500.0, retry=retry)])
+    assert any(isinstance(a, api.Refuse) for a in out) is refused
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -344,6 +344,17 @@
         assert trio.current_time() - used < 1.0
 
 
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_a_first_try_with_little_patience_is_served_and_a_marked_late_retry_refused(front):
+    async with world(Peer("d1", done), front=front, settings={"client_habits": {"marks_retry": True}}) as w:
+        def served(reply):
+            return reply.status == 200 and b"refused" not in reply.body
+        assert served(await w.ask(X_Timeout_Ms="3000"))
+        assert served(await w.ask(X_Request_ID="r2", X_Timeout_Ms="1000"))
+        assert not served(await w.ask(X_Request_ID="r3", X_Timeout_Ms="1000", X_Retried="1"))
+
+
 BAD = [
     (dict(target="/nowhere"), 404), (dict(method="PUT"), 405), (dict(X_Priority_Class="odd"), 400),
     (dict(X_Priority_Class="save"), 400), (dict(X_Tenant_Id="odd"), 400), (dict(X_Tenant_Id=None), 400),
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -58,7 +58,7 @@
         "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq", "hedged", "hinted",
     )
 
-    def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float):
+    def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float, marked: bool = False):
         self.id = event.job
         self.cls = cls
         self.tenant = event.tenant
@@ -66,8 +66,9 @@
         self.run = run  # expected run time on an average worker
         self.deadline = event.deadline
         cls.patience = max(cls.patience, event.deadline - now)
-        # A client's retry is due by its first try: less time left than its class allows gives it away.
-        self.asked = min(now, event.deadline - cls.patience)
+        # A client's retry is due by its first try. Where retries are not marked, less time left than its
+        # class allows gives one away; where they are, an unmarked job is an impatient client's first try.
+        self.asked = min(now, event.deadline - cls.patience) if event.retry or not marked else now
         self.arrived = now
         self.wanted = min(self.asked + cls.spec.aim + cls.spec.stretch * run, event.deadline)
         self.due = self.wanted - run  # T_k after the first asking: the latest start for the full worth
@@ -439,7 +440,7 @@
         now = self.now
         cls = self.classes[event.job_class]
         run = event.hint * cls.hint_ratio if event.hint > 0 else cls.mean
-        job = Job(event, cls, now, run)
+        job = Job(event, cls, now, run, self.settings.marks_retry)
         self.jobs[job.id] = job
         self.count += 1
         heappush(self.ends, (job.deadline - 2.0 * self.settings.tick, self.count, job))
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -41,6 +41,7 @@
     width: float = 1.0
     memory: float = 0.0
     hint: float = 0.0
+    retry: bool = False
     payload: Any = None
     client_left: bool = False
     on_progress: Callable[[RouteStep, float], None] | None = None
@@ -143,7 +144,7 @@
             operation.key = str(self._count)
             self._operations[operation.key] = operation
             self._put(api.JobArrived(operation.key, operation.job_class, operation.deadline, operation.tenant,
-                                     operation.width, operation.memory, operation.hint))
+                                     operation.width, operation.memory, operation.hint, operation.retry))
         if operation.choice is None and not operation.closed:
             operation.chosen = trio.Event()
             with trio.move_on_at(self.loop_time(operation.deadline + BACKSTOP)):
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -105,6 +105,7 @@
             width=figures.get("width", figures.get("slots", 1.0)),
             memory=figures.get("memory", 0.0),
             hint=_number(cost, "X-Cost", 0, 1e9) if cost is not None else figures.get("expected", 0.0),
+            retry=retried == "1",
             payload=request,
         )
 
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -86,6 +86,7 @@
     may_cancel: bool = False
     fifo: bool = False  # workers start waiting jobs strictly in the order in which they came
     second_copies: bool = False
+    marks_retry: bool = False  # clients mark their retries
     max_attempts: int = 1
     max_retry_after: float = 0.0  # 0: clients take no advice
     answer_slack: float = 0.0
@@ -128,6 +129,7 @@
     width: float = 1.0
     memory: float = 0.0
     hint: float = 0.0  # expected work, 0 where not told
+    retry: bool = False  # marked as a client's retry
 
 
 @dataclass(slots=True)
--- a/yewrill/wire.py
+++ b/yewrill/wire.py
@@ -94,6 +94,7 @@
         reports_on_probe=report.get("via") == "on_probe",
         may_probe=bool(limits.get("may_probe", False)),
         may_cancel=bool(limits.get("cancel", False)),
+        marks_retry=bool(config.get("client_habits", {}).get("marks_retry", False)),
         fifo=facts.get("queue_order") == "fifo",
         second_copies=bool(limits.get("second_copies", False)),
         max_attempts=limits.get("try_limit", 1),
@@ -112,7 +113,7 @@
     get = m.get
     return api.JobArrived(
         m["ticket"], m["tier_class"], m["client_deadline"], get("billing", 0), get("width", 1.0),
-        get("memory", 0.0), get("expected", 0.0),
+        get("memory", 0.0), get("expected", 0.0), bool(get("again_by_client", False)),
     )
 
 
