Open the operators' door: a listener of its own with GET /_ready

Built: net/door.py on the clients' listener class with 24 places and 1 s of patience; mgmt and $BALANCER_MGMT in config.py, config write and check.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -229,6 +229,18 @@
         finally:
             await client.stream.aclose()
 
+    async def call(self, call: str, raw: bytes | None = None) -> Reply:
+        """One call at the operators' door, such as "GET /_ready"."""
+        client = Client(await trio.open_tcp_stream(*self.service.door.address))
+        method, _, target = call.partition(" ")
+        client.parser.send(h11.Request(method=method, target=target or "/", headers=[("Host", "x")]))
+        client.parser.send(h11.EndOfMessage())
+        await client.stream.send_all(raw or f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        reply = await client.reply()
+        assert await client.stream.receive_some() == b""  # one call to a connection
+        await client.stream.aclose()
+        return reply
+
     async def until(self, true: Callable[[], bool]) -> None:
         """Wait for something that a peer or the service is about to do."""
         while not true():
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -50,6 +50,7 @@
     (put([3], "settings", "specifics", "class_kind"), "settings.specifics.class_kind[0]"),
     (put("", "settings", "parties", 0, "name"), "settings.parties[0].name"),
     (put(3, "limits"), "limits"), (put({"sockets": 8}, "limits"), "limits.sockets"),
+    (put("9600", "mgmt"), "mgmt"), (put("here:9600", "mgmt"), "mgmt"),
     (put("xyz", "seed"), "seed"), (put("smtp", "front"), "front"), (put(1, "Listen"), "Listen"),
     (put({"answer_margin_ms": 0}, "timing"), "timing.answer_margin_ms"),
     (put({"odd": 0}, "timing"), "timing.odd"),
@@ -110,9 +111,11 @@
     path = tmp_path / "c.json"
     done = call(*BASE, "--class", "tour:deadline=5000,aim=100,stretch=2.5", "--class",
                 "save:deadline=5000,aim=80,repeat=token,group=cell,window=7500",
-                "--tenant", "acme:quota_per_s=9", "--front", "progress", "--output", path)
+                "--tenant", "acme:quota_per_s=9", "--front", "progress", "--mgmt", "127.0.0.1:9600",
+                "--output", path)
     assert done.exit_code == 0, done.output
-    assert call("config", "check", path).output.startswith("ok: yewrill on 127.0.0.1:5000, front progress")
+    assert call("config", "check", path).output.startswith("ok: yewrill on 127.0.0.1:5000, front progress, "
+                                                               "door 127.0.0.1:9600, ")
     config = load_config(path)
     assert [(c.name, c.stretch) for c in config.settings.classes] == [("tour", 2.5), ("save", 0.0)]
     path.write_text(path.read_text().replace('"deadline": 5000', '"deadline": -1'))
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -17,7 +17,8 @@
 ENV_CONFIG = "BALANCER_CONFIG"
 FRONTS = ("platform", "progress")
 # Environment variables that stand in for the file's own keys.
-ENV_KEYS = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY"}
+ENV_KEYS = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY",
+            "mgmt": "BALANCER_MGMT"}
 _STATES = {"SERVING": api.RUNNING, "DRAINING": api.DRAINING, "DELETED": api.GONE}
 
 
@@ -57,6 +58,7 @@
     limits: Limits = field(default_factory=Limits)
     places: Places = field(default_factory=Places)
     known: Mapping[str, Any] | None = None
+    mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
     linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
@@ -246,7 +248,8 @@
     for key, variable in ENV_KEYS.items():
         if key not in raw and (environment or {}).get(variable):
             raw[key] = environment[variable]
-    known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing"}
+    known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing",
+                  "mgmt"}
     for key in ("listen", "discovery", "settings"):
         if key not in raw:
             raise ConfigError(f"{key}: missing")
@@ -282,8 +285,12 @@
     # The platform's own rule: the longest deadline, at most 3 s of it, and 0.7 s more.
     grace = max(min(max(c.deadline for c in settings.classes), 3000.0) + 700.0, linger)
     grace = _number(timing.get("grace_ms", grace), "timing.grace_ms", linger, 600000.0)
+    listen = read_address(raw["listen"], "listen", any_port=True)
+    mgmt = read_address(raw["mgmt"], "mgmt", any_port=True) if raw.get("mgmt") is not None else None
+    if mgmt == listen and mgmt[1]:
+        raise ConfigError("mgmt: must differ from listen")
     return Config(
-        listen=read_address(raw["listen"], "listen", any_port=True),
+        listen=listen,
         discovery=read_address(raw["discovery"], "discovery"),
         settings=settings,
         name=_text(raw.get("name", "yewrill"), "name"),
@@ -295,6 +302,7 @@
         ),
         places=places,
         known=raw.get("known"),
+        mgmt=mgmt,
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
         answer_margin_ms=margin,
         linger_ms=linger,
--- a/yewrill/configwrite.py
+++ b/yewrill/configwrite.py
@@ -108,6 +108,7 @@
     discovery: str,
     name: str,
     front: str,
+    mgmt: str | None = None,
     classes: list[dict[str, Any]],
     stretches: list[float],
     tenants: tuple[str, ...] = (),
@@ -147,6 +148,8 @@
             "specifics": {"class_stretch": stretches, "tells_start": True, "progress": 1000.0},
         },
     }
+    if mgmt:
+        raw["mgmt"] = mgmt
     if derived:
         raw["x-derived"] = dict(derived)
     read_config(raw)
--- /dev/null
+++ b/yewrill/net/door.py
@@ -0,0 +1,57 @@
+"""The operators' door: a small listener of its own, one call to a connection. What a call does is told it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+from yewrill.net.http import BadRequest, Reply, Request
+from yewrill.net.listener import Client, Listener
+
+PLACES = 24  # callers at once, of the spare descriptors
+PATIENCE = 1.0  # seconds for a caller to have said its call
+NAME = "name"  # the parameter that names what a call is about
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One thing that operators may ask. One that is `named` is told what it is about."""
+
+    method: str
+    act: Callable[..., Reply]
+    named: bool = False
+
+
+class Door:
+    def __init__(self, address: tuple[str, int], calls: Mapping[str, Call]):
+        self._calls = calls
+        self._listener = Listener(address, self._handle, PLACES, patience=PATIENCE, part="door")
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self._listener.address
+
+    async def run(self) -> None:
+        await self._listener.run()
+
+    def close(self) -> None:
+        self._listener.stop_accepting()
+
+    async def _handle(self, client: Client, request: Request) -> bool:
+        await client.send(client.http.whole(self._reply(request), close=True))
+        return False
+
+    def _reply(self, request: Request) -> Reply:
+        path, _, query = request.target.partition("?")
+        call = self._calls.get(path)
+        if call is None:
+            raise BadRequest(404, "no such call")
+        if request.method != call.method:
+            raise BadRequest(405, f"{call.method} only", (("Allow", call.method),))
+        if not call.named:
+            return call.act()
+        names = [value for key, value in parse_qsl(query, keep_blank_values=True) if key == NAME]
+        if len(names) != 1 or not names[0]:
+            raise BadRequest(400, f"one {NAME} is needed")
+        return call.act(names[0])
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -151,7 +151,10 @@
 class Listener:
     """Accepts clients within a bound and serves each until it or the program ends."""
 
-    def __init__(self, address: tuple[str, int], handler: Handler, most: int):
+    def __init__(self, address: tuple[str, int], handler: Handler, most: int, *,
+                 patience: float | None = None, part: str = "clients"):
+        self._patience = patience  # seconds for a request to be whole, if not the usual ones
+        self._part_name = part  # in the log
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
@@ -183,7 +186,8 @@
         while self.accepting:
             if len(self.clients) >= self._most and not self._evict():
                 if not self._full:
-                    log.warning("clients-full open=%d: new ones wait in the backlog", len(self.clients))
+                    log.warning("%s-full open=%d: new ones wait in the backlog", self._part_name,
+                                len(self.clients))
                     self._full = True
                 self._freed = trio.Event()
                 with trio.move_on_after(SHORT_PAUSE):  # by then others may have stayed silent for too long
@@ -206,7 +210,7 @@
         except OSError as error:
             if error.errno in NO_DESCRIPTORS:
                 # Out of descriptors: those who wait stay in the backlog; the busy ones go on.
-                log.warning("no-descriptors clients=%d: %s", len(self.clients), error.strerror)
+                log.warning("no-descriptors %s=%d: %s", self._part_name, len(self.clients), error.strerror)
                 self._evict()
                 self._short = True
                 return False
@@ -315,7 +319,8 @@
         first = client.since == client.opened
         if not first:
             await client.readable()
-        with trio.move_on_at((client.opened if first else client.first_byte) + REQUEST_TIME):
+        patience = REQUEST_TIME if self._patience is None else self._patience
+        with trio.move_on_at((client.opened if first else client.first_byte) + patience):
             return await client.request()
         raise BadRequest(408, "the request took too long")
 
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -18,6 +18,7 @@
 from yewrill.fronts.platform import PlatformFront, Reader
 from yewrill.fronts.progress import ProgressFront
 from yewrill.net.destinations import DestinationPool
+from yewrill.net.door import Call, Door
 from yewrill.net.http import BadRequest, Reply, Request
 from yewrill.net.listener import Client, Listener
 from yewrill.net.poolconfig import PoolConfig, Watch
@@ -52,6 +53,7 @@
             self.decisions, self.pool, self.front, most=int(sockets * DESTINATION_PART),
             connect_timeout=config.connect_timeout_ms / 1000.0, idle_limit=config.idle_close_ms / 1000.0)
         self.listener = Listener(config.listen, self._handle, int(sockets * CLIENT_PART))
+        self.door = Door(config.mgmt, self._calls()) if config.mgmt is not None else None
 
     async def run(self, *, signals: bool = True,
                   task_status: trio.TaskStatus[Service] = trio.TASK_STATUS_IGNORED) -> None:
@@ -63,6 +65,9 @@
             self.nursery = nursery
             nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
             nursery.start_soon(_keep, self.destinations.keep_tidy)
+            if self.door is not None:
+                nursery.start_soon(self.door.run)
+                log.info("door listen=%s:%d", *self.door.address)
             if signals:
                 await nursery.start(self._on_signal, nursery)
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
@@ -78,6 +83,8 @@
             log.info("drained")
             nursery.cancel_scope.cancel()
         self.destinations.close()
+        if self.door is not None:
+            self.door.close()
 
     async def _on_signal(self, nursery: trio.Nursery,
                          task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -124,6 +131,11 @@
             log.warning("last-call open=%d", self.decisions.pending)
             self.decisions.give_up()
 
+    # -- what operators ask
+
+    def _calls(self) -> dict[str, Call]:
+        return {"/_ready": Call("GET", self._ready)}
+
     # -- one exchange
 
     async def _handle(self, client: Client, request: Request) -> bool:
