Start a new version on the inherited socket, joined to the old one by a link

The heir now answers yes once the elder has noted it. Ruled out: memory (36 of 80 MB for both), descriptors (119 of 384), the door (0 requests ended there in 4 upgrades). Tests: take-over on both fronts with unread, kept and slow connections, ids in use across both, leftover and silent links, an heir that dies; all need the new code.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -248,7 +248,8 @@
 
 
 @asynccontextmanager
-async def world(*peers: Peer, settings: dict | None = None, signals: bool = False, **config):
+async def world(*peers: Peer, settings: dict | None = None, signals: bool = False,
+                environment: dict | None = None, **config):
     """A service between scripted peers, its ports given by the system."""
     async with trio.open_nursery() as nursery:
         for peer in peers:
@@ -258,7 +259,7 @@
         raw = {"listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery),
                "known": {"version": 1, "full": True, "servers": [p.entry() for p in peers]},
                "settings": {**SETTINGS, **(settings or {})}, "seed": "5", **config}
-        service = Service(read_config(raw), lambda: read_config(raw))
+        service = Service(read_config(raw, environment), lambda: read_config(raw, environment))
         here = World(service, discovery, nursery, raw)
 
         async def run(*, task_status=trio.TASK_STATUS_IGNORED) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,7 +1,17 @@
 """Stories of what operators do, each told over loopback sockets against scripted peers."""
 
+import os
+import socket
+import tempfile
+from contextlib import asynccontextmanager
+
+import pytest
 import trio
-from helper import Peer, done, story, world
+from helper import Client, Peer, done, story, world
+
+from yewrill.config import read_config
+from yewrill.net.handover import link_path
+from yewrill.service import Service
 
 MGMT = {"mgmt": "127.0.0.1:0"}
 
@@ -40,3 +50,151 @@
 async def test_without_mgmt_there_is_no_door():
     async with world(Peer("d1", done)) as w:
         assert w.service.door is None
+
+
+class Shared:
+    """The clients' listening socket as the platform holds it, and a directory that runs share."""
+
+    def __init__(self, directory: str):
+        self.directory = directory
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = self.sock.getsockname()
+
+    def environment(self) -> dict[str, str]:
+        return {"BALANCER_INHERITED_FD": str(os.dup(self.sock.fileno())), "TMPDIR": self.directory}
+
+    async def client(self) -> Client:
+        return Client(await trio.open_tcp_stream(*self.address))
+
+    def link(self):
+        return link_path(self.directory, "yewrill", ("127.0.0.1", 0))
+
+
+@asynccontextmanager
+async def shared_world(*peers, **config):
+    with tempfile.TemporaryDirectory() as directory:
+        # As deep as a platform may put it: deeper than a Unix address can hold.
+        deep = os.path.join(directory, "d" * 120)
+        os.mkdir(deep)
+        shared = Shared(deep)
+        async with world(*peers, environment=shared.environment(), **{**MGMT, **config}) as w:
+            w.shared = shared
+            w.elder = w.service
+            yield w
+        shared.sock.close()
+
+
+async def start_heir(w, **config) -> Service:
+    heir = Service(read_config({**w.raw, **config}, w.shared.environment()))
+    await w.nursery.start(lambda task_status: heir.run(signals=False, task_status=task_status))
+    w.service = heir
+    return heir
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_a_new_version_takes_over_without_a_gap_and_the_old_one_finishes_what_it_took(front):
+    peer, gate = Peer("d1", None), trio.Event()
+
+    async def waits(exchange):
+        if exchange.id == "slow":
+            await gate.wait()
+        await exchange.done()
+
+    peer.script = waits
+    async with shared_world(peer, front=front) as w:
+        slow, kept, unread = [await w.shared.client() for _ in range(3)]
+        await slow.send(X_Request_ID="slow")
+        await w.until(lambda: peer.exchanges and len(w.elder.listener.clients) == 3)
+        heir = await start_heir(w)
+        assert (await w.call("GET /_ready")).status == 200
+        w.nursery.start_soon(w.elder.drain)
+        await w.until(lambda: w.elder.draining)
+        assert not w.elder.listener.accepting  # at once, while a plain restart goes on for 0.7 s
+        for i in range(20):  # whoever comes now is the heir's, and is told that all is well
+            assert (await w.ask("/up", "GET")).status == 200
+            assert (await w.ask(X_Request_ID=f"n{i}")).status == 200
+        assert len(w.elder.listener.clients) == 3
+        up = await kept.ask("/up", "GET")  # the dispatcher is up, whichever run is asked
+        assert (up.status, up.headers["connection"]) == (200, "close")
+        assert (await unread.ask(X_Request_ID="late")).status == 200  # not read until now
+        gate.set()
+        assert (await slow.reply()).status == 200
+        for client in (slow, kept, unread):
+            assert await client.stream.receive_some() == b""  # they go with their answers
+            await client.stream.aclose()
+        await w.ended.wait()
+        await w.until(lambda: heir.listener._most == 541)  # 0.55 of all that are not spare
+
+
+@story
+async def test_a_stop_right_after_the_yes_finds_the_elder_knowing_its_heir():
+    async with shared_world(Peer("d1", done)) as w:
+        heir = await start_heir(w)
+        # The program that asked has nothing but the yes: by then the elder must know.
+        assert heir.serving and w.elder.handover.heir_ready
+        assert w.elder.listener._most + heir.listener._most <= 541
+
+
+@story
+async def test_an_id_open_at_one_run_is_in_use_at_the_other():
+    gate, peer = trio.Event(), Peer("d1", None)
+
+    async def waits(exchange):
+        await gate.wait()
+        await exchange.done()
+
+    peer.script = waits
+    async with shared_world(peer) as w:
+        before = await w.shared.client()
+        await before.send(X_Request_ID="r7")
+        await w.until(lambda: peer.exchanges)
+        heir = await start_heir(w)
+        assert heir.handover.open_elsewhere("r7")  # what the elder had before
+        w.elder.listener.stop_accepting(take_backlog=False)
+        assert (await (await w.shared.client()).ask(X_Request_ID="r7")).status == 409
+        after = await w.shared.client()
+        await after.send(X_Request_ID="r8")
+        await w.until(lambda: w.elder.handover.open_elsewhere("r8"))  # and the other way round, later
+        gate.set()
+        assert (await before.reply()).status == (await after.reply()).status == 200
+        await w.until(lambda: not heir.handover.open_elsewhere("r7"))
+        assert (await (await w.shared.client()).ask(X_Request_ID="r7")).status == 200
+
+
+@pytest.mark.parametrize("leftover", ["nobody", "silent", "not a socket"])
+@story
+async def test_a_leftover_or_a_silent_elder_delays_no_start(leftover):
+    async with shared_world(Peer("d1", done)) as w:
+        path = w.shared.link()
+        w.elder.handover.close()
+        other = socket.socket(socket.AF_UNIX)
+        if leftover != "not a socket":
+            other.bind(f"/proc/self/fd/{(fd := os.open(path.parent, os.O_RDONLY))}/{path.name}")
+            if leftover == "silent":
+                other.listen()
+            else:
+                other.close()
+            os.close(fd)
+        else:
+            path.write_text("x")
+        began = trio.current_time()
+        await start_heir(w)
+        assert trio.current_time() - began < 0.9
+        assert (await w.call("GET /_ready")).status == 200
+        other.close()
+        async with await trio.open_tcp_stream(*w.shared.address) as stream:  # and it serves
+            assert (await Client(stream).ask("/up", "GET")).status == 200
+
+
+@story
+async def test_an_heir_that_dies_leaves_the_elder_as_it_was():
+    async with shared_world(Peer("d1", done)) as w:
+        whole = w.elder.listener._most
+        heir = await start_heir(w)
+        assert w.elder.listener._most < whole
+        heir.nursery.cancel_scope.cancel()
+        await w.until(lambda: not w.elder.handover.heir_ready)
+        assert w.elder.listener._most == whole
+        await start_heir(w)  # the next one finds the elder again
+        assert w.elder.handover.heir_ready
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -19,7 +19,10 @@
 # Environment variables that stand in for the file's own keys.
 ENV_KEYS = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY",
             "mgmt": "BALANCER_MGMT"}
+ENV_INHERITED = "BALANCER_INHERITED_FD"  # the clients' listening socket, where the platform holds it
+ENV_TEMPORARY = "TMPDIR"  # shared by the runs of one dispatcher
 _STATES = {"SERVING": api.RUNNING, "DRAINING": api.DRAINING, "DELETED": api.GONE}
+STATE_WORDS = {state: word for word, state in _STATES.items()}
 
 
 class ConfigError(Exception):
@@ -58,6 +61,8 @@
     limits: Limits = field(default_factory=Limits)
     places: Places = field(default_factory=Places)
     known: Mapping[str, Any] | None = None
+    inherited_fd: int | None = None  # listen on this descriptor; two runs may then serve beside each other
+    link_dir: str | None = None  # where they find each other
     mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
@@ -289,6 +294,10 @@
     mgmt = read_address(raw["mgmt"], "mgmt", any_port=True) if raw.get("mgmt") is not None else None
     if mgmt == listen and mgmt[1]:
         raise ConfigError("mgmt: must differ from listen")
+    fd = (environment or {}).get(ENV_INHERITED)
+    if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 6):
+        raise ConfigError(f"{ENV_INHERITED}: {_show(fd)} is not a descriptor's number")
+    inherited = int(fd) if fd else None
     return Config(
         listen=listen,
         discovery=read_address(raw["discovery"], "discovery"),
@@ -303,6 +312,8 @@
         places=places,
         known=raw.get("known"),
         mgmt=mgmt,
+        inherited_fd=inherited,
+        link_dir=(environment or {}).get(ENV_TEMPORARY) or None,
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
         answer_margin_ms=margin,
         linger_ms=linger,
@@ -315,7 +326,8 @@
 def differing(before: Config, now: Config) -> list[str]:
     """The keys of the file in which two configurations differ, but for those that only a start uses."""
     return [_KEY_OF.get(f.name, f.name) for f in fields(Config)
-            if f.name not in ("known", "seed") and getattr(before, f.name) != getattr(now, f.name)]
+            if f.name not in ("known", "seed", "inherited_fd", "link_dir")
+            and getattr(before, f.name) != getattr(now, f.name)]
 
 
 def load_config(path: str | Path, environment: Mapping[str, str] | None = None) -> Config:
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -288,6 +288,12 @@
             line.http.connection.close()
             self.open -= 1
 
+    def limit(self, most: int) -> None:
+        """Another bound; idle connections beyond it go."""
+        self._most = most
+        while self.open > most and self._make_room():
+            pass
+
     def _make_room(self) -> bool:
         """Whether one more connection may be opened; an idle one gives way if need be."""
         if self.open < self._most:
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -148,18 +149,34 @@
 Handler = Callable[[Client, Request], Awaitable[bool]]
 
 
+def _inherited(descriptor: int) -> socket.socket:
+    """The listening socket that the platform holds: others accept on it too, so here it is only closed."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            sock.set_inheritable(False)
+            return sock
+        sock.detach()
+    except OSError as error:
+        raise OSError(error.errno, f"descriptor {descriptor}: {error.strerror}") from None
+    raise OSError(errno.EINVAL, f"descriptor {descriptor} is not a listening socket")
+
+
 class Listener:
     """Accepts clients within a bound and serves each until it or the program ends."""
 
     def __init__(self, address: tuple[str, int], handler: Handler, most: int, *,
-                 patience: float | None = None, part: str = "clients"):
+                 inherited: int | None = None, patience: float | None = None, part: str = "clients"):
         self._patience = patience  # seconds for a request to be whole, if not the usual ones
         self._part_name = part  # in the log
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if inherited is not None:
+            self.sock = _inherited(inherited)
+        else:
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(address)
+            self.sock.listen(BACKLOG)
         self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(BACKLOG)
         self.address: tuple[str, int] = self.sock.getsockname()
         self._handler = handler
         self._most = most
@@ -246,11 +263,18 @@
         self.clients.discard(client)
         self._freed.set()
 
-    def stop_accepting(self) -> None:
-        """Take what the backlog still holds and close the listener. Open connections go on."""
+    def limit(self, most: int) -> None:
+        """Another bound; who is connected already stays."""
+        self._most = most
+        self._freed.set()
+
+    def stop_accepting(self, take_backlog: bool = True) -> None:
+        """Close the listener, after taking what the backlog still holds. Open connections go on."""
+        if not self.accepting:
+            return
         self.accepting = False
         # A bound is kept all the same: whoever is left in the backlog is reset and tries elsewhere.
-        while len(self.clients) < self._most and self._accept_one():
+        while take_backlog and len(self.clients) < self._most and self._accept_one():
             pass
         trio.lowlevel.notify_closing(self.sock)
         self.sock.close()
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -11,7 +11,7 @@
 import ujson
 
 from yewrill import interface as api
-from yewrill.config import ConfigError, Places, read_destinations
+from yewrill.config import STATE_WORDS, ConfigError, Places, read_destinations
 from yewrill.facade import Decisions, Destination
 from yewrill.net.connection import Connection
 from yewrill.net.http import ClientSide, PeerEnded
@@ -46,6 +46,13 @@
         destination = self._known.get(name)
         return destination is not None and destination.state == api.RUNNING
 
+    def snapshot(self) -> dict[str, Any]:
+        """The list in discovery's form, for another run of this dispatcher."""
+        return {"version": self.version, "full": True, "servers": [
+            {"id": d.id, "addr": f"{d.address[0]}:{d.address[1]}", "zone": d.zone, "kind": d.kind,
+             "cell": d.cell, "state": STATE_WORDS[d.state], "weight": d.weight, "started_ms": d.started_ms}
+            for d in self._known.values()]}
+
     def apply(self, answer: dict[str, Any], cached: bool = False) -> None:
         """Take an answer of discovery's. Raises ConfigError on nonsense, leaving the list as it was."""
         destinations = read_destinations(answer, "discovery", self._places)
@@ -74,6 +81,7 @@
         self.address = address
         self._pool = pool
         self._scope = trio.CancelScope()
+        self.heard = trio.Event()  # discovery has told something
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address at once, even from within a held call, and take the whole list there."""
@@ -106,6 +114,7 @@
                         raise ConfigError(f"discovery: status {response.status_code}")
                     answer = ujson.loads(body)
                     pool.apply(answer)
+                    self.heard.set()
                     whole = False
                     if quiet:
                         log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -19,6 +19,7 @@
 from yewrill.fronts.progress import ProgressFront
 from yewrill.net.destinations import DestinationPool
 from yewrill.net.door import Call, Door
+from yewrill.net.handover import HandOver, link_path
 from yewrill.net.http import BadRequest, Reply, Request
 from yewrill.net.listener import Client, Listener
 from yewrill.net.poolconfig import PoolConfig, Watch
@@ -31,16 +32,21 @@
 RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms")
 # Before the end of the grace that SIGTERM leaves: until when, in ms, requests are taken, and answers wait.
 LAST_REQUEST, LAST_ANSWER = 900.0, 250.0
+# How long, in seconds, an heir waits for discovery's own word before it serves by the elder's list.
+FIRST_LIST = 1.0
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
+LEAST_SOCKETS = SPARE + 24  # what each of two runs has at least
 
 
 class Service:
     def __init__(self, config: Config, load: Callable[[], Config] | None = None):
         self.config = config
         self._load = load  # reads the configuration anew
-        self.draining = False  # not ready any more
+        self.serving = False  # started, and in possession of what an elder knows
+        self.draining = False  # SIGTERM has come
+        self.replaced = False  # an heir takes what comes now
         self.leaving = False  # connections close after their answer
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
@@ -48,12 +54,16 @@
         self.nursery: trio.Nursery
         self.watch = Watch(config.discovery, self.pool)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
-        sockets = config.limits.sockets - SPARE
+        clients, destinations = _parts(config.limits.sockets)
         self.destinations = DestinationPool(
-            self.decisions, self.pool, self.front, most=int(sockets * DESTINATION_PART),
+            self.decisions, self.pool, self.front, most=destinations,
             connect_timeout=config.connect_timeout_ms / 1000.0, idle_limit=config.idle_close_ms / 1000.0)
-        self.listener = Listener(config.listen, self._handle, int(sockets * CLIENT_PART))
+        self.listener = Listener(config.listen, self._handle, clients, inherited=config.inherited_fd)
         self.door = Door(config.mgmt, self._calls()) if config.mgmt is not None else None
+        self.handover: HandOver | None = None
+        if config.inherited_fd is not None and config.link_dir is not None:
+            self.handover = HandOver(link_path(config.link_dir, config.name, config.listen),
+                                     state=self._known_here, hear=self._hear, alone=self._bound)
 
     async def run(self, *, signals: bool = True,
                   task_status: trio.TaskStatus[Service] = trio.TASK_STATUS_IGNORED) -> None:
@@ -70,10 +80,13 @@
                 log.info("door listen=%s:%d", *self.door.address)
             if signals:
                 await nursery.start(self._on_signal, nursery)
+            await self._join()
+            self.serving = True
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
                      *self.listener.address, self.config.front, len(self.pool))
-            # After that line, so that the log tells of the start first and of a silent discovery second.
-            nursery.start_soon(_keep, self.watch.run)
+            if self.handover is None:
+                # After that line, so that the log tells of the start first and of a silent discovery second.
+                nursery.start_soon(_keep, self.watch.run)
             task_status.started(self)
             # What start-up left behind stays for good: the collector need not look at it again.
             gc.collect()
@@ -83,6 +96,8 @@
             log.info("drained")
             nursery.cancel_scope.cancel()
         self.destinations.close()
+        if self.handover is not None:
+            self.handover.close()
         if self.door is not None:
             self.door.close()
 
@@ -120,8 +135,13 @@
         self.draining = True
         began = trio.current_time()
         config = self.config
-        await trio.sleep_until(began + config.linger_ms / 1000.0)
-        self.listener.stop_accepting()
+        if self.handover is not None and self.handover.heir_ready:
+            # What comes from now on is the heir's; what was accepted is ours, and goes with its answer.
+            self.replaced = self.leaving = True
+            self.listener.stop_accepting(take_backlog=False)
+        else:
+            await trio.sleep_until(began + config.linger_ms / 1000.0)
+            self.listener.stop_accepting()
         with trio.move_on_at(began + max(config.linger_ms, config.grace_ms - LAST_REQUEST) / 1000.0):
             await self.listener.emptied()
         self.leaving = True
@@ -131,11 +151,49 @@
             log.warning("last-call open=%d", self.decisions.pending)
             self.decisions.give_up()
 
+    # -- two runs of one dispatcher
+
+    async def _join(self) -> None:
+        """Before serving on a socket that another run may serve too: learn what that one knows."""
+        if self.handover is None:
+            return
+        self.nursery.start_soon(_keep, self.handover.run)
+        self.nursery.start_soon(_keep, self.watch.run)
+        await self.handover.joined.wait()
+        with trio.move_on_after(FIRST_LIST):
+            await self.watch.heard.wait()
+        await self.handover.ready()
+
+    def _known_here(self) -> dict[str, Any]:
+        """What an heir needs to know. It gets a part of the descriptors too."""
+        whole = self.config.limits.sockets
+        used = SPARE + len(self.listener.clients) + self.destinations.open
+        mine = max(LEAST_SOCKETS, min(max(whole // 2, used), whole - LEAST_SOCKETS))
+        self._bound(mine)
+        return {"ids": list(self._open), "list": self.pool.snapshot(), "sockets": whole - mine}
+
+    def _hear(self, message: dict[str, Any]) -> None:
+        """Take what another run tells: all that it knows, or a change."""
+        if "state" in message:
+            state = message["state"]
+            self._bound(max(LEAST_SOCKETS, int(state["sockets"])))
+            if not self.watch.heard.is_set():
+                self.pool.apply(state["list"], cached=True)
+
+    def _bound(self, sockets: int | None = None) -> None:
+        """Keep to a part of the descriptors, or to all of them when no other run is left."""
+        clients, destinations = _parts(self.config.limits.sockets if sockets is None else sockets)
+        self.listener.limit(clients)
+        self.destinations.limit(destinations)
+
     # -- what operators ask
 
     def _calls(self) -> dict[str, Call]:
         return {"/_ready": Call("GET", self._ready)}
 
+    def _ready(self) -> Reply:
+        return self._up() if self.serving and not self.draining else Reply(503, b"not serving\n")
+
     # -- one exchange
 
     async def _handle(self, client: Client, request: Request) -> bool:
@@ -144,16 +202,17 @@
         if path == READY_PATH:
             if request.method != "GET":
                 raise BadRequest(405, "GET only", (("Allow", "GET"),))
-            reply = self._ready()
+            reply = self._up()
         else:
-            if self.draining and not self.front.takes_while_draining:
+            if self.draining and not self.replaced and not self.front.takes_while_draining:
                 raise BadRequest(503, "draining")
             now = self.decisions.now() - (trio.current_time() - request.arrived) * 1000.0
             operation = self.front.reader.operation(request, now)
-            if operation.id in self._open:
+            if operation.id in self._open or \
+                    (self.handover is not None and self.handover.open_elsewhere(operation.id)):
                 # Still at a client or out at a destination: two of one id can't be told apart there.
                 raise BadRequest(409, "X-Request-ID is in use")
-            self._open.add(operation.id)
+            self._take_id(operation.id)
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
             try:
                 async with client.watched(self.nursery):
@@ -163,18 +222,33 @@
                         lambda: self.leaving or client.ahead)
             finally:
                 client.operation = None
-                self._open.discard(operation.id)
+                self._free_id(operation.id)
         close = self.leaving or client.ahead
         return await client.send(client.http.whole(reply, close)) and not close
 
-    def _ready(self) -> Reply:
-        if self.draining:
+    def _take_id(self, id: str) -> None:
+        self._open.add(id)
+        if self.handover is not None:
+            self.handover.tell({"open": id})
+
+    def _free_id(self, id: str) -> None:
+        self._open.discard(id)
+        if self.handover is not None:
+            self.handover.tell({"shut": id})
+
+    def _up(self) -> Reply:
+        if self.draining and not self.replaced:  # with an heir, the dispatcher is up, whoever is asked
             return Reply(503, b"draining\n")
         if not len(self.pool):
             return Reply(503, b"no pool config yet\n")
         return Reply(200, b"up\n")
 
 
+def _parts(sockets: int) -> tuple[int, int]:
+    """How many of so many descriptors may be clients and destinations."""
+    return int((sockets - SPARE) * CLIENT_PART), int((sockets - SPARE) * DESTINATION_PART)
+
+
 async def _keep(task: Callable[..., Awaitable[None]], *args: Any) -> None:
     """Run a task that must outlive its own faults: one bad list or sweep must not end the program."""
     while True:
