Let operators take a profiler out and put it back

Built: a set of ids over every list in net/poolconfig.py, WorkerReturned for the module, ids and calls over the link, each agreed on by both runs before the yes. Checked: a probe's last look was missing after its connection came up (destinations.probe); a step picked before the call is held back by the last look as it was. Tests: lists of every form on both fronts, last look, both runs of an upgrade, the module's first job for a cold worker.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,11 @@
 import trio
 from helper import Client, Peer, done, story, world
 
+from yewrill import interface as api
 from yewrill.config import read_config
+from yewrill.decide import Dispatcher
+from yewrill.ending import Ending
+from yewrill.facade import Operation
 from yewrill.net.handover import link_path
 from yewrill.service import Service
 
@@ -198,3 +202,105 @@
         assert w.elder.listener._most == whole
         await start_heir(w)  # the next one finds the elder again
         assert w.elder.handover.heir_ready
+
+
+OUT, BACK = "PUT /_profilers/detach?name=", "PUT /_profilers/attach?name="
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_a_destination_taken_out_gets_nothing_whatever_discovery_says_until_it_is_put_back(front):
+    one, other = Peer("d1", done), Peer("d2", done)
+    async with world(one, other, front=front, **MGMT) as w:
+        ids = iter(range(1000))
+
+        async def jobs(count):
+            for _ in range(count):
+                assert (await w.ask(X_Request_ID=f"r{next(ids)}")).status == 200
+
+        while not (one.exchanges and other.exchanges):
+            await jobs(1)
+        for call, status in ((OUT + "nobody", 404), (BACK + "nobody", 404), (OUT[:-6], 400), (OUT, 400),
+                             (OUT + "d1&name=d1", 400), ("GET" + OUT[3:] + "d1", 405),
+                             (OUT + "d1", 200), (OUT + "%641", 200)):  # twice over is the same as once
+            assert (await w.call(call)).status == status
+        before = len(one.exchanges)
+        await w.until(lambda: not one.live)  # its idle connections are closed
+        d1, watch = one.entry(), w.discovery
+        for news in ([d1], [{**d1, "state": "DELETED"}], [d1], [{**d1, "started_ms": 1e12}]):
+            watch.tell(*news)
+            await w.until(lambda: w.service.pool.version == watch.version)
+            await jobs(5)
+        watch.tell(d1, other.entry(), full=True)
+        await w.until(lambda: w.service.pool.version == watch.version)
+        await jobs(5)
+        assert len(one.exchanges) == before
+        assert (await w.call(BACK + "d1")).status == 200  # once is enough
+        with trio.fail_after(5):  # it gets work soon, though it counts as cold and the other one is idle
+            while len(one.exchanges) == before:
+                await jobs(1)
+        assert (await w.call(BACK + "d1")).status == 200
+        watch.tell({**d1, "state": "DELETED"})
+        await w.until(lambda: w.service.pool.version == watch.version)
+        assert (await w.call(OUT + "d1")).status == 404
+
+
+@story
+async def test_a_step_already_picked_is_held_back_by_the_last_look():
+    one = Peer("d1", done)
+    async with world(one, **MGMT) as w:
+        service = w.service
+        operation = Operation("r1", 0, service.decisions.now() + 2000.0)
+        step = await service.decisions.pick(operation)
+        assert service.pool.take_out(step.destination)
+        assert (await service.destinations.attempt(step))[0] is Ending.NOT_SENT
+        assert await service.destinations.probe("d1") is Ending.TURNED_AWAY
+        assert not one.exchanges
+
+
+@story
+async def test_what_is_taken_out_stays_out_over_an_upgrade_and_is_put_back_at_either_run():
+    peers = [Peer(f"d{i}", done) for i in range(5)]
+    async with shared_world(*peers) as w:
+        for name in ("d0", "d1", "d2"):
+            assert (await w.call(OUT + name)).status == 200
+        assert (await w.call(BACK + "d2")).status == 200
+        elder, heir = w.elder, await start_heir(w)
+        assert heir.pool.out == ["d0", "d1"] and "d2" in heir.pool.back  # out, and back but still cold
+        w.service = elder
+        assert (await w.call(OUT + "d3")).status == 200 and "d3" in heir.pool.out
+        w.service = heir
+        assert (await w.call(BACK + "d0")).status == 200 and elder.pool.out == ["d1", "d3"]
+        elder.listener.stop_accepting(take_backlog=False)
+        w.discovery.tell(*(p.entry() for p in peers), full=True)
+        await w.until(lambda: heir.pool.version == w.discovery.version)
+        client, ids = await w.shared.client(), iter(range(10_000))
+        with trio.fail_after(5):
+            while not peers[0].exchanges:
+                assert (await client.ask(X_Request_ID=f"r{next(ids)}")).status == 200
+        assert not peers[1].exchanges and not peers[3].exchanges
+
+
+def test_a_worker_put_back_is_cold_unblocked_and_first_in_line_until_it_shows_life():
+    settings = api.Settings([api.JobClass("tour", 2000.0, 9000.0)], tells_start=True, warm_after=6000.0,
+                            start_capacity=0.3, cold_multiple=3.0, cold_window=3000.0, max_attempts=3)
+    module, sends = Dispatcher(settings, 1), []
+
+    def moment(now, *events):
+        sends.extend(a for a in module.handle(now, list(events)) if isinstance(a, api.Send))
+
+    moment(0.0, api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i}") for i in range(6)]))
+    w = module.workers["w3"]
+    w.blocked, w.fails, w.refused = 1e9, 5, True
+    moment(5000.0, api.WorkerReturned("w3", 5000.0))
+    assert w.cold_from == 5000.0 and w.blocked <= 5000.0 and not w.fails
+    w.credit = 0.0
+    moment(7000.0, api.JobArrived("a", 0, 16000.0))
+    assert sends.pop().worker == "w3"
+    moment(7100.0, api.JobArrived("b", 0, 16100.0))
+    assert sends.pop().worker != "w3"  # one is on its way there, and it is cold
+    moment(7200.0, api.AttemptEnded("a", 0, "w3", api.NO_CONNECTION, 10.0, final=True))
+    moment(7700.0, api.JobArrived("c", 0, 16700.0))
+    assert sends.pop().worker == "w3"  # it was not up yet, and is still owed one
+    moment(7800.0, api.AttemptStarted("c", 0, "w3"))
+    assert w.owed < 0 and not module.owed
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -44,6 +44,8 @@
 STUCK = 600.0  # a worker that runs none of our jobs and starts none of those waiting for this long is silent
 WARY = 10000.0  # how long after a sure sign of lost attempts less sure signs are taken for it too
 NO_WORD = 1.5  # a running job without a word for this many progress intervals is lost
+OWED = 1500.0  # a worker back from operators' hands gets a job by then, even one that will be late
+OWED_AGAIN = 500.0  # and another one after this time without a sign of life
 COLD_SAFETY = 0.5  # the part of the cold budget that is used
 
 
@@ -281,7 +283,7 @@
         "name", "zone", "kind", "cell", "kind_no", "usable", "listed", "launched", "cold_from", "credit",
         "credit_at", "inflight", "free", "free_at", "cap", "unstarted", "waiting_since", "ratio", "seen",
         "slow", "slow_at", "errors", "errors_at", "blocked", "fails", "probing", "sent_at", "fresh",
-        "running", "queue", "refused",
+        "running", "queue", "refused", "owed",
     )
 
     def __init__(self, entry: api.WorkerEntry, kind: Kind):
@@ -317,6 +319,7 @@
         self.probing = False
         self.sent_at = -1e18
         self.fresh = False
+        self.owed = -1.0  # since when it has been back from operators' hands without a sign of life
 
 
 # ============================================================================ attempts and final answers
@@ -370,6 +373,7 @@
         self.near: dict[int, list[Worker]] = {kind: [] for kind in pools}
         self.far: dict[int, list[Worker]] = {kind: [] for kind in pools}
         self.fresh: list[Worker] = []
+        self.owed: list[Worker] = []
         self.jobs: dict[str, Job] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.ends: list[tuple[float, int, Job]] = []  # final answers due
@@ -410,6 +414,7 @@
             api.ClientLeft: self._client_left,
             api.TimerFired: self._timer,
             api.WorkerList: self._list,
+            api.WorkerReturned: self._returned,
         }
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
@@ -650,7 +655,7 @@
             # Crossing zones costs a fee; it pays once so much of the slack is used up.
             gain = job.cls.spec.worth * (1.0 - job.cls.spec.late_worth)
             cross = used >= min(0.8, self.cross_fee * self.mean_worth / max(gain, 1e-9))
-        for w in self.fresh:
+        for w in self.fresh + self.owed if self.owed else self.fresh:
             if (kind < 0 or w.kind_no == kind) and (cross or w.zone == zone):
                 candidates.append(w)
         rng = self.rng.random
@@ -691,6 +696,9 @@
             finish = wait + job.run * ratio
             if w.errors > 0.05:
                 finish += self._error_share(w, now) * job.run * 8.0
+            if w.owed >= 0 and (w.sent_at < w.owed or now - w.sent_at > OWED_AGAIN) and (
+                    now - w.owed > OWED or now + finish < job.wanted):
+                finish -= 1e9  # a cold worker would wait for its turn until the others are full
             if finish < best_finish:
                 best, best_finish = w, finish
         return best
@@ -786,6 +794,23 @@
         # A drain is kept from the moment it is heard of.
         w.usable = entry.state == api.RUNNING
 
+    def _returned(self, event: api.WorkerReturned) -> None:
+        """Back from operators' hands, most likely as another process: nothing learned of it holds."""
+        w = self.workers.get(event.worker)
+        if w is None:
+            return
+        w.blocked = w.slow = w.errors = w.seen = 0.0
+        w.fails = 0
+        w.refused = False
+        w.ratio = 1.0
+        w.cap = w.kind.slots + 1.0
+        w.free_at = -1e18
+        self._start_cold(w, event.since)
+        if w.owed < 0:
+            self.owed.append(w)
+        w.owed = self.now
+        self.stirred = True
+
     def _start_cold(self, w: Worker, since: float) -> None:
         if self.now - since < self.settings.warm_after:
             w.cold_from = since
@@ -933,6 +958,9 @@
         w.blocked = self.now + 125.0 * 2 ** w.fails * (0.75 + 0.5 * self.rng.random())
 
     def _alive(self, w: Worker) -> None:
+        if w.owed >= 0:
+            w.owed = -1.0
+            self.owed.remove(w)
         if w.fails:
             if w.refused and w.fails >= 3:
                 self._start_cold(w, self.now)
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -210,6 +210,10 @@
             for d in destinations
         ]))
 
+    def returned(self, name: str, at: float) -> None:
+        """Operators have put a destination back, at this wall clock time."""
+        self._put(api.WorkerReturned(name, min(self._launched(at), self.now())))
+
     def tick(self) -> None:
         """Hand everything that is ready to the module, as one moment, and carry out what it decides."""
         now = self.now()
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -120,6 +120,14 @@
     entries: Sequence[WorkerEntry] = ()
 
 
+@dataclass(slots=True)
+class WorkerReturned:
+    """Operators have put back a worker that they had taken out; it may have started anew since then."""
+
+    worker: str
+    since: float  # the clock time
+
+
 @dataclass(slots=True)
 class JobArrived:
     job: str
@@ -188,8 +196,8 @@
 
 
 Event = (
-    WorkerList | JobArrived | AttemptStarted | AttemptProgress | AnswerStarted | AttemptEnded | ProbeEnded
-    | ClientLeft | TimerFired
+    WorkerList | WorkerReturned | JobArrived | AttemptStarted | AttemptProgress | AnswerStarted
+    | AttemptEnded | ProbeEnded | ClientLeft | TimerFired
 )
 
 
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -209,6 +209,8 @@
                 if not self._make_room():
                     return Ending.TURNED_AWAY
                 line = await self._open(destination)
+                if not self._pool.may_send(name):  # opening took time
+                    return Ending.TURNED_AWAY
                 data = line.http.encode("GET", PROBE_PATH, [("Host", "destination")])
                 await line.http.connection.send(data)
                 response = await line.http.response()
--- a/yewrill/net/door.py
+++ b/yewrill/net/door.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
@@ -19,7 +19,7 @@
     """One thing that operators may ask. One that is `named` is told what it is about."""
 
     method: str
-    act: Callable[..., Reply]
+    act: Callable[..., Awaitable[Reply]]
     named: bool = False
 
 
@@ -39,10 +39,10 @@
         self._listener.stop_accepting()
 
     async def _handle(self, client: Client, request: Request) -> bool:
-        await client.send(client.http.whole(self._reply(request), close=True))
+        await client.send(client.http.whole(await self._reply(request), close=True))
         return False
 
-    def _reply(self, request: Request) -> Reply:
+    async def _reply(self, request: Request) -> Reply:
         path, _, query = request.target.partition("?")
         call = self._calls.get(path)
         if call is None:
@@ -50,8 +50,8 @@
         if request.method != call.method:
             raise BadRequest(405, f"{call.method} only", (("Allow", call.method),))
         if not call.named:
-            return call.act()
+            return await call.act()
         names = [value for key, value in parse_qsl(query, keep_blank_values=True) if key == NAME]
         if len(names) != 1 or not names[0]:
             raise BadRequest(400, f"one {NAME} is needed")
-        return call.act(names[0])
+        return await call.act(names[0])
--- a/yewrill/net/handover.py
+++ b/yewrill/net/handover.py
@@ -61,8 +61,10 @@
         self.told = False  # an elder that has told what it knows
         self.ready = False  # an heir that serves
         self.ids: set[str] = set()  # open there
+        self.noted: dict[int, trio.Event] = {}  # what the other side is yet to say that it has taken
         self._pending = bytearray()
         self._news = trio.Event()
+        self._count = 0
 
     def tell(self, message: dict[str, Any]) -> None:
         self._pending += ujson.dumps(message).encode() + b"\n"
@@ -70,6 +72,16 @@
             self.connection.close()
         self._news.set()
 
+    async def agree(self, message: dict[str, Any]) -> None:
+        self._count += 1
+        number = self._count
+        noted = self.noted[number] = trio.Event()
+        try:
+            self.tell({**message, "number": number})
+            await noted.wait()
+        finally:
+            self.noted.pop(number, None)
+
     async def write(self) -> None:
         while True:
             await self._news.wait()
@@ -102,7 +114,6 @@
         self._named: tuple[int, ...] = ()  # the file that is our name for heirs
         self._sock: socket.socket | None = None
         self.joined = trio.Event()  # there is no elder, or it has told all, or it had its time
-        self._noted = trio.Event()  # the elder knows that we serve
         self._nursery: trio.Nursery
 
     @property
@@ -116,6 +127,12 @@
         for link in self._links:
             link.tell(message)
 
+    async def agree(self, message: dict[str, Any]) -> None:
+        """Tell, and wait a little until the other runs have taken it."""
+        with trio.move_on_after(PATIENCE):
+            for link in list(self._links):
+                await link.agree(message)
+
     async def run(self) -> None:
         """Join the elder, if there is one, and serve heirs from `take_name` on."""
         async with trio.open_nursery() as self._nursery:
@@ -160,8 +177,9 @@
             link.connection.close()
             self._links.discard(link)
         log.info("%s-gone", "elder" if link.elder else "heir")
+        for noted in link.noted.values():
+            noted.set()
         if link.elder:
-            self._noted.set()
             self.joined.set()
         if not link.elder and not any(not other.elder for other in self._links):
             self.take_name()  # it may have taken the name along
@@ -173,19 +191,21 @@
             link.ids.add(str(message["open"]))
         elif "shut" in message:
             link.ids.discard(str(message["shut"]))
-        elif "ready" in message:
-            link.ready = True
-            log.info("heir-ready")
-            link.tell({"noted": True})
         elif "noted" in message:
-            self._noted.set()
+            if (noted := link.noted.get(message["noted"])) is not None:
+                noted.set()
         else:
             try:
+                if "ready" in message:
+                    link.ready = True
+                    log.info("heir-ready")
                 if "state" in message:
                     link.ids.update(map(str, message["state"].get("ids", ())))
                 self._hear(message)
             except Exception:  # another version may say what we can't read: the rest goes on
                 log.exception("handover-fault")
+            if "number" in message:
+                link.tell({"noted": message["number"]})
             if "state" in message:
                 link.told = True
                 self.joined.set()
@@ -195,12 +215,12 @@
     async def ready(self) -> None:
         """We serve: a new run is to find this one, and the elder is to know it before anyone stops it."""
         self.take_name()
-        elders = [link for link in self._links if link.elder]
-        for link in elders:
-            link.tell({"ready": True})
-        if any(link.told for link in elders):  # one that has been silent is not waited for twice
-            with trio.move_on_after(PATIENCE):
-                await self._noted.wait()
+        for link in list(self._links):
+            if link.elder and link.told:
+                with trio.move_on_after(PATIENCE):
+                    await link.agree({"ready": True})
+            elif link.elder:
+                link.tell({"ready": True})  # one that has been silent is not waited for twice
 
     def take_name(self) -> None:
         try:
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import h11
@@ -19,6 +21,8 @@
 log = logging.getLogger("yewrill.discovery")
 
 PATH = "/discovery/hosts"
+MOST_OUT = 10_000  # destinations taken out by hand
+REMEMBERED = 60.0  # seconds for which an heir is told that a destination was put back
 HOLD_MS = 5000  # short, so that a watch that has silently broken is noticed before it matters
 PATIENCE = 1.0  # seconds past the hold (or for a plain call) before discovery counts as silent
 RETRY = 0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
@@ -32,6 +36,8 @@
         self._decisions = decisions
         self._places = places
         self._known: dict[str, Destination] = {}
+        self._out: set[str] = set()  # taken out by hand, listed or not
+        self._back: dict[str, float] = {}  # put back lately, and when by the wall clock, in ms
         self.version = 0
         self.on_change: Callable[[Destination | None, str], None] = lambda destination, name: None
 
@@ -42,9 +48,54 @@
         return self._known.get(name)
 
     def may_send(self, name: str) -> bool:
-        """Whether new work may still go there: not once it drains or is gone."""
+        """Whether new work may still go there: not once it drains, is gone or was taken out by hand."""
         destination = self._known.get(name)
-        return destination is not None and destination.state == api.RUNNING
+        return destination is not None and destination.state == api.RUNNING and name not in self._out
+
+    # -- taken out and put back by hand
+
+    @property
+    def out(self) -> list[str]:
+        return sorted(self._out)
+
+    @property
+    def back(self) -> dict[str, float]:
+        """What was put back lately: whoever sends there for the first time must take it for cold."""
+        oldest = (time.time() - REMEMBERED) * 1000.0
+        self._back = {name: at for name, at in self._back.items() if at > oldest}
+        return self._back
+
+    def take_out(self, name: str, listed: bool = True) -> bool:
+        """Nothing more goes there, whatever lists say, until it is put back. False if nobody has it."""
+        if name not in self._out:
+            if (listed and name not in self._known) or len(self._out) >= MOST_OUT:
+                return False
+            self._out.add(name)
+            self._back.pop(name, None)
+            self._tell(name)
+        return True
+
+    def put_back(self, name: str, at: float) -> bool:
+        """End that; it may have been restarted meanwhile. False if nobody has this name."""
+        if name in self._out:
+            self._out.discard(name)
+            self._back[name] = at
+            self._tell(name)
+            self._decisions.returned(name, at)
+            return True
+        return name in self._known
+
+    def _tell(self, name: str) -> None:
+        destination = self._known.get(name)
+        if destination is not None:
+            self.on_change(destination, name)
+            self._decisions.pool_config([self._laid_over(destination)], full=False)
+
+    def _laid_over(self, destination: Destination) -> Destination:
+        """A line of the list as the module is to see it."""
+        if destination.id in self._out and destination.state == api.RUNNING:
+            return replace(destination, state=api.DRAINING)
+        return destination
 
     def snapshot(self) -> dict[str, Any]:
         """The list in discovery's form, for another run of this dispatcher."""
@@ -71,7 +122,7 @@
             if now != before.get(name):
                 self.on_change(now, name)
         if full or destinations:
-            self._decisions.pool_config(destinations, full=full, cached=cached)
+            self._decisions.pool_config(map(self._laid_over, destinations), full=full, cached=cached)
 
 
 class Watch:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -170,15 +171,25 @@
         used = SPARE + len(self.listener.clients) + self.destinations.open
         mine = max(LEAST_SOCKETS, min(max(whole // 2, used), whole - LEAST_SOCKETS))
         self._bound(mine)
-        return {"ids": list(self._open), "list": self.pool.snapshot(), "sockets": whole - mine}
+        return {"ids": list(self._open), "out": self.pool.out, "back": self.pool.back,
+                "list": self.pool.snapshot(), "sockets": whole - mine}
 
     def _hear(self, message: dict[str, Any]) -> None:
         """Take what another run tells: all that it knows, or a change."""
         if "state" in message:
             state = message["state"]
             self._bound(max(LEAST_SOCKETS, int(state["sockets"])))
+            for name in state["out"]:
+                self.pool.take_out(name, listed=False)
             if not self.watch.heard.is_set():
                 self.pool.apply(state["list"], cached=True)
+            for name, at in state["back"].items():
+                self.pool.take_out(name, listed=False)
+                self.pool.put_back(name, at)
+        elif "out" in message:
+            self.pool.take_out(message["out"], listed=False)
+        elif "back" in message:
+            self.pool.put_back(message["back"], message["at"])
 
     def _bound(self, sockets: int | None = None) -> None:
         """Keep to a part of the descriptors, or to all of them when no other run is left."""
@@ -189,9 +200,33 @@
     # -- what operators ask
 
     def _calls(self) -> dict[str, Call]:
-        return {"/_ready": Call("GET", self._ready)}
+        return {
+            "/_ready": Call("GET", self._ready),
+            "/_profilers/detach": Call("PUT", self._detach, named=True),
+            "/_profilers/attach": Call("PUT", self._attach, named=True),
+        }
+
+    async def _detach(self, name: str) -> Reply:
+        if not self.pool.take_out(name):
+            return Reply(404, b"no such profiler\n")
+        log.info("detached destination=%s", name)
+        await self._agree({"out": name})
+        return Reply(200, b"detached\n")
+
+    async def _attach(self, name: str) -> Reply:
+        at = time.time() * 1000.0
+        if not self.pool.put_back(name, at):
+            return Reply(404, b"no such profiler\n")
+        log.info("attached destination=%s", name)
+        await self._agree({"back": name, "at": at})
+        return Reply(200, b"attached\n")
+
+    async def _agree(self, message: dict[str, Any]) -> None:
+        """What operators set holds for the dispatcher, so for both of its runs."""
+        if self.handover is not None:
+            await self.handover.agree(message)
 
-    def _ready(self) -> Reply:
+    async def _ready(self) -> Reply:
         return self._up() if self.serving and not self.draining else Reply(503, b"not serving\n")
 
     # -- one exchange
