Let operators empty a dispatcher that stays and comes back

Built: /_lameduck/on and off: /up says no at once, answers close from 0.2 s on, idle connections from 1.2 s on, off at once; it holds over an upgrade. Tests: on both fronts, with open, idle, working and late connections, off, SIGTERM in it; over an upgrade.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -304,3 +304,62 @@
     assert sends.pop().worker == "w3"  # it was not up yet, and is still owed one
     moment(7800.0, api.AttemptStarted("c", 0, "w3"))
     assert w.owed < 0 and not module.owed
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_a_drained_dispatcher_loses_its_clients_and_no_job_and_comes_back(front):
+    gate = trio.Event()
+
+    async def waits(exchange):
+        if exchange.id == "slow":
+            await gate.wait()
+        await exchange.done()
+
+    peers = [Peer(f"d{i}", waits) for i in range(4)]
+    async with world(*peers, front=front, **MGMT) as w:
+        asks, idle, works, slow = [await w.client() for _ in range(4)]
+        assert (await asks.ask("/up", "GET")).status == 200
+        await slow.send(X_Request_ID="slow", X_Timeout_Ms="3000")
+        await w.until(lambda: any(p.exchanges for p in peers))
+        assert (await w.call("PUT /_lameduck/on")).status == 200
+        began = trio.current_time()
+        up = await asks.ask("/up", "GET")  # at once, on an open connection too
+        assert up.status == 503 and "connection" not in up.headers
+        assert (await w.call("GET /_ready")).status == 200  # the process is well, and stays
+        while True:  # jobs are served, and take their connections along from 0.2 s on
+            reply = await works.ask(X_Request_ID="w", X_Timeout_Ms="3000")
+            assert reply.status == 200
+            await trio.sleep(0.01)
+            if reply.headers.get("connection") == "close":
+                break
+        if front == "platform":
+            assert trio.current_time() - began > 0.19
+        for client in (works, asks, idle):
+            assert await client.stream.receive_some() == b""
+        assert trio.current_time() - began < 2.0
+        late = await w.client()  # the listener stays
+        assert (await late.ask(X_Request_ID="late", X_Timeout_Ms="3000")).status == 200
+        await w.until(lambda: len(w.service.listener.clients) == 1)
+        gate.set()
+        assert (await slow.reply()).status == 200
+        assert (await w.call("PUT /_lameduck/off")).status == 200
+        back = await w.client()
+        assert (await back.ask("/up", "GET")).status == 200
+        assert "connection" not in (await back.ask("/up", "GET")).headers
+        await trio.sleep(0.4)  # longer than an idle one had before
+        assert (await back.ask(X_Request_ID="back", X_Timeout_Ms="3000")).status == 200
+        assert (await w.call("PUT /_lameduck/on")).status == 200
+        w.nursery.start_soon(w.service.drain)  # SIGTERM works in it as ever
+        await w.until(lambda: w.service.draining)
+        assert (await w.call("GET /_ready")).status == 503
+        await w.ended.wait()
+
+
+@story
+async def test_the_operators_drain_holds_over_an_upgrade():
+    async with shared_world(Peer("d1", done)) as w:
+        assert (await w.call("PUT /_lameduck/on")).status == 200
+        elder, heir = w.elder, await start_heir(w)
+        assert heir.lame and (await w.call("GET /_ready")).status == 200
+        assert (await w.call("PUT /_lameduck/off")).status == 200 and not elder.lame
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -292,6 +292,13 @@
         for client in list(self.clients):
             self._let_go(client)
 
+    def release(self, age: float) -> None:
+        """Let those go that have stood idle for so many seconds; no new ones are refused."""
+        before = trio.current_time() - age
+        for client in list(self.clients):
+            if client.since <= before:
+                self._let_go(client)
+
     def _let_go(self, client: Client) -> None:
         # A request that has come but was not read yet is served first.
         if not client.answering and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -35,6 +35,9 @@
 LAST_REQUEST, LAST_ANSWER = 900.0, 250.0
 # How long, in seconds, an heir waits for discovery's own word before it serves by the elder's list.
 FIRST_LIST = 1.0
+# After the operators' drain began, in seconds: from when on answers close their connections, and idle ones
+# go, then those that fall idle for a while.
+LAME_CLOSING, LAME_IDLE, LAME_AGE = 0.2, 1.2, 0.3
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
@@ -47,6 +50,9 @@
         self._load = load  # reads the configuration anew
         self.serving = False  # started, and in possession of what an elder knows
         self.draining = False  # SIGTERM has come
+        self.lame = False  # drained by operators
+        self._emptying = trio.CancelScope()  # that drain at work
+        self._lame_closing = False
         self.replaced = False  # an heir takes what comes now
         self.leaving = False  # connections close after their answer
         self.decisions = Decisions(config.settings, config.seed)
@@ -171,7 +177,7 @@
         used = SPARE + len(self.listener.clients) + self.destinations.open
         mine = max(LEAST_SOCKETS, min(max(whole // 2, used), whole - LEAST_SOCKETS))
         self._bound(mine)
-        return {"ids": list(self._open), "out": self.pool.out, "back": self.pool.back,
+        return {"ids": list(self._open), "lame": self.lame, "out": self.pool.out, "back": self.pool.back,
                 "list": self.pool.snapshot(), "sockets": whole - mine}
 
     def _hear(self, message: dict[str, Any]) -> None:
@@ -179,6 +185,7 @@
         if "state" in message:
             state = message["state"]
             self._bound(max(LEAST_SOCKETS, int(state["sockets"])))
+            self._set_lame(bool(state["lame"]))
             for name in state["out"]:
                 self.pool.take_out(name, listed=False)
             if not self.watch.heard.is_set():
@@ -186,6 +193,8 @@
             for name, at in state["back"].items():
                 self.pool.take_out(name, listed=False)
                 self.pool.put_back(name, at)
+        elif "lame" in message:
+            self._set_lame(bool(message["lame"]))
         elif "out" in message:
             self.pool.take_out(message["out"], listed=False)
         elif "back" in message:
@@ -202,6 +211,8 @@
     def _calls(self) -> dict[str, Call]:
         return {
             "/_ready": Call("GET", self._ready),
+            "/_lameduck/on": Call("PUT", self._lameduck_on),
+            "/_lameduck/off": Call("PUT", self._lameduck_off),
             "/_profilers/detach": Call("PUT", self._detach, named=True),
             "/_profilers/attach": Call("PUT", self._attach, named=True),
         }
@@ -221,13 +232,46 @@
         await self._agree({"back": name, "at": at})
         return Reply(200, b"attached\n")
 
+    async def _lameduck_on(self) -> Reply:
+        self._set_lame(True)
+        await self._agree({"lame": True})
+        return Reply(200, b"draining\n")
+
+    async def _lameduck_off(self) -> Reply:
+        self._set_lame(False)
+        await self._agree({"lame": False})
+        return Reply(200, b"serving\n")
+
+    def _set_lame(self, on: bool) -> None:
+        if on != self.lame:
+            self.lame = on
+            log.info("lameduck-%s clients=%d", "on" if on else "off", len(self.listener.clients))
+            self._emptying.cancel()
+            self._lame_closing = False
+            if on:
+                self._emptying = trio.CancelScope()
+                self.nursery.start_soon(self._empty, self._emptying)
+
+    async def _empty(self, scope: trio.CancelScope) -> None:
+        """Let the clients go without losing a job: those at work with their answers, then the idle ones."""
+        with scope:
+            began = trio.current_time()
+            await trio.sleep(LAME_CLOSING)
+            self._lame_closing = True
+            await trio.sleep_until(began + LAME_IDLE)
+            while True:
+                self.listener.release(LAME_AGE)
+                await trio.sleep(LAME_AGE / 3)
+
     async def _agree(self, message: dict[str, Any]) -> None:
         """What operators set holds for the dispatcher, so for both of its runs."""
         if self.handover is not None:
             await self.handover.agree(message)
 
     async def _ready(self) -> Reply:
-        return self._up() if self.serving and not self.draining else Reply(503, b"not serving\n")
+        if self.serving and not self.draining and len(self.pool):
+            return Reply(200, b"ready\n")
+        return Reply(503, b"not serving\n")
 
     # -- one exchange
 
@@ -254,13 +298,17 @@
                     return await self.front.respond(
                         client, operation,
                         lambda: carry(operation, self.decisions, self.destinations.attempt),
-                        lambda: self.leaving or client.ahead)
+                        lambda: self._closing(client))
             finally:
                 client.operation = None
                 self._free_id(operation.id)
-        close = self.leaving or client.ahead
+        close = self._closing(client)
         return await client.send(client.http.whole(reply, close)) and not close
 
+    def _closing(self, client: Client) -> bool:
+        """Whether a connection closes after the answer that goes out now."""
+        return self.leaving or self._lame_closing or client.ahead
+
     def _take_id(self, id: str) -> None:
         self._open.add(id)
         if self.handover is not None:
@@ -274,6 +322,8 @@
     def _up(self) -> Reply:
         if self.draining and not self.replaced:  # with an heir, the dispatcher is up, whoever is asked
             return Reply(503, b"draining\n")
+        if self.lame:
+            return Reply(503, b"drained by operators\n")
         if not len(self.pool):
             return Reply(503, b"no pool config yet\n")
         return Reply(200, b"up\n")
