Count jobs, attempts and reloads in one place and tell them at the door

Tests: counts against what clients and peers saw on both fronts, clients that left, gauges, no series for unknown classes.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -363,3 +363,86 @@
         elder, heir = w.elder, await start_heir(w)
         assert heir.lame and (await w.call("GET /_ready")).status == 200
         assert (await w.call("PUT /_lameduck/off")).status == 200 and not elder.lame
+
+
+async def figures(w) -> dict[str, float]:
+    lines = (await w.call("GET /_vars")).body.decode().splitlines()
+    found = {}
+    for line in lines:
+        name, _, rest = line.partition(":")
+        value, _, kind = rest.partition("|")
+        assert name.startswith("app.") and kind in ("c", "g") and name not in found
+        found[name.removeprefix("app.")] = float(value)
+    return found
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_the_figures_tell_what_clients_and_destinations_saw(front):
+    async def script(exchange):
+        if exchange.id.startswith("fails"):
+            await exchange.status(500)
+        elif exchange.id == "waits":
+            await exchange.closed()
+        else:
+            await exchange.done()
+
+    one = Peer("d1", script)
+    async with world(one, front=front, **MGMT) as w:
+        at = await figures(w)
+        assert at == {**{f"{status}.{c}": 0 for status in ("success", "overload", "error")
+                         for c in ("tour", "save", "once")},
+                      "dispatches": 0, "reload_success": 0, "reload_failure": 0, "concurrent": 0,
+                      "targets": 1, "targets_disabled": 0}
+        for i in range(3):
+            await w.ask("/tour", X_Request_ID=f"r{i}")
+        await w.ask("/once", X_Request_ID="fails")
+        assert (await w.ask("/nothing")).status == 404  # no job, no series
+        assert (await w.ask("/save", X_Request_ID=None)).status == 400
+        at = await figures(w)
+        assert (at["success.tour"], at["error.once"], at["dispatches"]) == (3, 1, 4)
+        assert not any("nothing" in name for name in at) and at["error.save"] == 0
+        client = await w.client()
+        await client.send("/save", X_Request_ID="waits")
+        await w.until(lambda: one.exchanges[-1].id == "waits")
+        await client.stream.aclose()
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await figures(w))["concurrent"] == 0  # nothing is owed to those that left
+        assert (await w.call(OUT + "d1")).status == 200
+        assert (await figures(w))["targets_disabled"] == 1
+        reply = await w.ask("/tour", X_Request_ID="r9")
+        assert reply.status == 503 or b"refused" in reply.body
+        at = await figures(w)
+        assert at["overload.tour"] == 1 and at["targets"] == 1
+        w.discovery.tell({**one.entry(), "state": "DELETED"})
+        await w.until(lambda: not len(w.service.pool))
+        at = await figures(w)
+        assert at["targets"] == at["targets_disabled"] == 0
+        w.service.reload()
+        w.raw["discovery"] = "nowhere"
+        w.service.reload()
+        at = await figures(w)
+        assert (at["reload_success"], at["reload_failure"]) == (1, 1)
+
+
+@story
+async def test_an_operation_under_way_is_concurrent_and_one_left_alone_by_choice_is_disabled():
+    gate = trio.Event()
+
+    async def waits(exchange):
+        await gate.wait()
+        await exchange.done()
+
+    one = Peer("d1", waits)
+    async with world(one, **MGMT) as w:
+        client = await w.client()
+        await client.send()
+        await w.until(lambda: one.exchanges)
+        assert (await figures(w))["concurrent"] == 1
+        gate.set()
+        assert (await client.reply()).status == 200
+        at = await figures(w)
+        assert at["concurrent"] == 0 and at["success.tour"] == 1
+        worker = w.service.decisions._module.workers["d1"]
+        worker.fails, worker.blocked = 1, w.service.decisions.now() + 1e4
+        assert (await figures(w))["targets_disabled"] == 1
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -957,6 +957,11 @@
         w.fails = min(w.fails + 1, 5)
         w.blocked = self.now + 125.0 * 2 ** w.fails * (0.75 + 0.5 * self.rng.random())
 
+    def avoided(self, now: float) -> set[str]:
+        """The listed workers that get nothing at present, because they drain or have failed."""
+        return {w.name for w in self.workers.values()
+                if w.listed and (not w.usable or (w.fails and w.blocked > now))}
+
     def _alive(self, w: Worker) -> None:
         if w.owed >= 0:
             w.owed = -1.0
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -134,6 +134,10 @@
         """Operations without their final answer."""
         return len(self._operations)
 
+    def avoided(self) -> set[str]:
+        """The destinations that the module leaves out at present."""
+        return self._module.avoided(self.now())
+
     # -- what the network code calls
 
     async def pick(self, operation: Operation) -> RouteStep | BusyReply | Failure | None:
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -86,6 +86,7 @@
         self._settling: list[tuple[str, _Line, float]] = []
         self._distrust: dict[str, tuple[float, float]] = {}  # until when, and for how long that was
         pool.on_change = self._changed
+        self.on_written: Callable[[], None] = lambda: None  # an attempt's last byte is written
 
     # -- one route step
 
@@ -98,6 +99,7 @@
         def on_sent() -> None:
             nonlocal sent
             sent = True
+            self.on_written()
 
         outcome: tuple[Ending, Any] | None = None
         with scope:
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -44,6 +44,10 @@
     def __len__(self) -> int:
         return len(self._known)
 
+    @property
+    def names(self) -> list[str]:
+        return list(self._known)
+
     def get(self, name: str) -> Destination | None:
         return self._known.get(name)
 
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -14,8 +14,9 @@
 import trio
 
 from yewrill.config import Config, ConfigError, differing
-from yewrill.core import carry
-from yewrill.facade import Decisions
+from yewrill.core import Answer, Served, carry
+from yewrill.facade import BusyReply, Decisions, Operation
+from yewrill.figures import ERROR, OVERLOAD, SUCCESS, Figures
 from yewrill.fronts.platform import PlatformFront, Reader
 from yewrill.fronts.progress import ProgressFront
 from yewrill.net.destinations import DestinationPool
@@ -60,11 +61,14 @@
         self._open: set[str] = set()  # ids of operations under way, those of clients that have left too
         self.nursery: trio.Nursery
         self.watch = Watch(config.discovery, self.pool)
+        self.figures = Figures()
+        self.figures.know(c.name for c in config.settings.classes)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
         clients, destinations = _parts(config.limits.sockets)
         self.destinations = DestinationPool(
             self.decisions, self.pool, self.front, most=destinations,
             connect_timeout=config.connect_timeout_ms / 1000.0, idle_limit=config.idle_close_ms / 1000.0)
+        self.destinations.on_written = self.figures.dispatched
         self.listener = Listener(config.listen, self._handle, clients, inherited=config.inherited_fd)
         self.door = Door(config.mgmt, self._calls()) if config.mgmt is not None else None
         self.handover: HandOver | None = None
@@ -128,10 +132,12 @@
             config = self._load()
         except Exception as error:  # whatever is wrong with the file, the one that served so far goes on
             log.error("reload-refused %s", error if isinstance(error, ConfigError) else repr(error))
+            self.figures.reloaded(False)
             return
         self.config = taken = replace(self.config, **{key: getattr(config, key) for key in RELOADED})
         self.front.reader.margin = taken.answer_margin_ms
         self.watch.move(taken.discovery)
+        self.figures.reloaded(True)
         log.info("reloaded discovery=%s:%d", *taken.discovery)
         if others := differing(taken, config):
             log.warning("reload-ignored keys=%s: a restart takes them up", ",".join(others))
@@ -211,12 +217,21 @@
     def _calls(self) -> dict[str, Call]:
         return {
             "/_ready": Call("GET", self._ready),
+            "/_vars": Call("GET", self._vars),
             "/_lameduck/on": Call("PUT", self._lameduck_on),
             "/_lameduck/off": Call("PUT", self._lameduck_off),
             "/_profilers/detach": Call("PUT", self._detach, named=True),
             "/_profilers/attach": Call("PUT", self._attach, named=True),
         }
 
+    async def _vars(self) -> Reply:
+        avoided = self.decisions.avoided()
+        listed = self.pool.names
+        return Reply(200, self.figures.text({
+            "concurrent": self.decisions.pending, "targets": len(listed),
+            "targets_disabled": sum(not self.pool.may_send(name) or name in avoided for name in listed),
+        }).encode())
+
     async def _detach(self, name: str) -> Reply:
         if not self.pool.take_out(name):
             return Reply(404, b"no such profiler\n")
@@ -292,12 +307,13 @@
                 # Still at a client or out at a destination: two of one id can't be told apart there.
                 raise BadRequest(409, "X-Request-ID is in use")
             self._take_id(operation.id)
+            job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
             try:
                 async with client.watched(self.nursery):
                     return await self.front.respond(
                         client, operation,
-                        lambda: carry(operation, self.decisions, self.destinations.attempt),
+                        lambda: self._carry(operation, job_class),
                         lambda: self._closing(client))
             finally:
                 client.operation = None
@@ -305,6 +321,14 @@
         close = self._closing(client)
         return await client.send(client.http.whole(reply, close)) and not close
 
+    async def _carry(self, operation: Operation, job_class: str) -> Answer | None:
+        """Carry an operation, and count its final answer."""
+        answer = await carry(operation, self.decisions, self.destinations.attempt)
+        if answer is not None:
+            self.figures.answered(job_class, SUCCESS if isinstance(answer, Served) else
+                                  OVERLOAD if isinstance(answer, BusyReply) else ERROR)
+        return answer
+
     def _closing(self, client: Client) -> bool:
         """Whether a connection closes after the answer that goes out now."""
         return self.leaving or self._lame_closing or client.ahead
