Take other settings at SIGHUP, whole or not at all

At fault: RELOADED in service.py left settings out; the module and the front knew classes by position only (JobArrived.job_class, gaps[cls.index]); the module heard of an operation after awaits in which a reload could fall (facade.pick), so it now does in the moment of reading (take); read_config took files short of repeat, aim or try_limit by their defaults, and turned short deadlines down for the answer margin. Tests: on both fronts with jobs open over the reload, attempts, 13 faulty files, what is learned; the progress front's 204 now comes before the module hears of a job.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -121,7 +121,7 @@
         c.mean = 1000.0
         c.arrivals = 10
     d.handle(1000.0, [])
-    rates = [[t.gaps[i].rate * 1000.0 for i in range(2)] for t in d.tenants]
+    rates = [[t.gaps[c].rate * 1000.0 for c in d.classes] for t in d.tenants]
     # 20 slots times (1)'s bound carry no 20 + 20 jobs a second of 1 s each: the dear class is guaranteed all
     # of what fits, the cheap one its floor of a tenth.
     slots = d._slots()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,6 +1,8 @@
 """Stories of what operators do, each told over loopback sockets against scripted peers."""
 
+import copy
 import os
+import signal
 import socket
 import tempfile
 from contextlib import asynccontextmanager
@@ -446,3 +448,148 @@
         worker = w.service.decisions._module.workers["d1"]
         worker.fails, worker.blocked = 1, w.service.decisions.now() + 1e4
         assert (await figures(w))["targets_disabled"] == 1
+
+
+def classes(w, **changes) -> list[dict]:
+    """The request classes of the next reload: a name with None is dropped, another one changed or added."""
+    found = {c["name"]: dict(c) for c in w.raw["settings"]["request_classes"]}
+    for name, change in changes.items():
+        if change is None:
+            del found[name]
+        else:
+            found[name] = {**found.get(name, found["tour"]), **change, "name": name}
+    return list(found.values())
+
+
+def retune(w, limits=None, **changes) -> None:
+    """Write other settings and reload."""
+    settings = w.raw["settings"]
+    w.raw["settings"] = {**settings, "request_classes": classes(w, **changes),
+                         "limits": {**settings["limits"], **(limits or {})}}
+    w.service.reload()
+
+
+@pytest.mark.parametrize("front", ["platform", "progress"])
+@story
+async def test_other_settings_come_by_sighup_and_open_jobs_keep_their_class(front):
+    gates = {"old": trio.Event(), "new": trio.Event(), "dropped": trio.Event()}
+
+    async def fails(exchange):
+        if exchange.id in gates and exchange.id not in seen:
+            seen.add(exchange.id)
+            await gates[exchange.id].wait()
+            await exchange.status(500)
+        else:
+            await exchange.done()
+
+    seen, peers = set(), [Peer(f"d{i}", fails) for i in range(3)]
+
+    def served(reply):
+        return reply.status == 200 and (front == "platform" or b"event: served" in reply.body)
+
+    async with world(*peers, front=front, signals=True, **MGMT) as w:
+        old, dropped, new = [await w.client() for _ in range(3)]
+        await old.send("/tour", X_Request_ID="old")  # may be repeated
+        await dropped.send("/once", X_Request_ID="dropped")  # may not
+        await w.until(lambda: len(seen) == 2)
+        assert (await w.ask("/fresh", X_Request_ID="f0")).status == 404
+        settings = w.raw["settings"]
+        # First in the list, so that every position moves.
+        w.raw["settings"] = {**settings, "request_classes": [
+            {**settings["request_classes"][0], "name": "fresh", "deadline": 35.0, "aim": 35.0},
+            *classes(w, once=None, tour={"repeat": "side_effect"})]}
+        os.kill(os.getpid(), signal.SIGHUP)
+        await w.until(lambda: "success.fresh" in w.service.figures._counts)
+        assert served(await w.ask("/fresh", X_Request_ID="f1", X_Timeout_Ms="2000"))
+        assert (await w.ask("/once", X_Request_ID="o1")).status == 404
+        await new.send("/tour", X_Request_ID="new")  # as the class is now: not to be repeated
+        await w.until(lambda: len(seen) == 3)
+        for gate in gates.values():
+            gate.set()
+        assert served(await old.reply())
+        for client in (new, dropped):
+            assert not served(await client.reply())
+        at = await figures(w)
+        assert at["reload_success"] == 1 and at["error.once"] == at["error.tour"] == 1
+        assert at["success.fresh"] == 1 and at["success.tour"] == 1
+
+
+@story
+async def test_a_changed_number_of_attempts_holds_for_new_jobs_and_the_smaller_one_for_open_ones():
+    gate = trio.Event()
+
+    async def errs(exchange):
+        if exchange.id == "open" and not gate.is_set():
+            await gate.wait()
+        await exchange.status(503, "X-Not-Processed: 1")
+
+    peers = [Peer(f"d{i}", errs) for i in range(8)]
+    async with world(*peers, **MGMT) as w:
+        held = await w.client()
+        await held.send(X_Request_ID="open")
+        await w.until(lambda: any(p.exchanges for p in peers))
+        retune(w, limits={"try_limit": 2})
+        gate.set()
+        assert (await held.reply()).status == 503
+        await w.ask(X_Request_ID="later")
+        for id in ("open", "later"):
+            assert sum(e.id == id for p in peers for e in p.exchanges) == 2
+
+
+@story
+async def test_a_faulty_file_is_turned_down_whole():
+    one = Peer("d1", done)
+    async with world(one, **MGMT) as w:
+        good, calls = copy.deepcopy(w.raw), len(w.discovery.calls)
+        here = w.service.config
+
+        def put(value, *path):
+            at = w.raw
+            for step in path[:-1]:
+                at = at[step]
+            if value is None:
+                del at[path[-1]]
+            else:
+                at[path[-1]] = value
+
+        faults = [(None, "discovery"), (None, "settings"), (None, "settings", "limits"),
+                  (None, "settings", "limits", "try_limit"), (None, "settings", "rules", "fall"),
+                  (0, "settings", "limits", "try_limit"), (-5, "settings", "request_classes", 1, "deadline"),
+                  (0, "settings", "request_classes", 1, "deadline"),
+                  *((None, "settings", "request_classes", 0, key)
+                    for key in ("name", "deadline", "aim", "repeat", "value")),
+                  (None, "settings", "request_classes", 1, "window"), (["other"], "settings", "kinds")]
+        for count, (value, *path) in enumerate(faults, 1):
+            w.raw.clear()
+            w.raw.update(copy.deepcopy(good))
+            w.raw["discovery"] = "127.0.0.1:9"  # with the rest goes this
+            w.raw["settings"]["request_classes"][2]["name"] = "other"
+            put(value, *path)
+            w.service.reload()
+            at = await figures(w)
+            assert (at["reload_failure"], at["reload_success"]) == (count, 0), path
+        assert w.service.config is here and w.service.watch.address == here.discovery
+        assert (await w.ask("/once")).status == 200 and (await w.ask("/other")).status == 404
+        assert len(w.discovery.calls) >= calls
+
+
+def test_classes_and_tenants_keep_what_was_learned_of_them_under_other_settings():
+    def settings(*names, **more):
+        return api.Settings([api.JobClass(name, 2000.0, 9000.0) for name in names], max_attempts=3, **more)
+
+    two = [api.Tenant("a", 10.0), api.Tenant("b", 20.0)]
+    module = Dispatcher(settings("x", "y", tenants=two), 1)
+    module.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
+    x, y = module.classes
+    y.mean, y.seen = 321.0, 9
+    b = module.tenants[1]
+    module.handle(10.0, [api.JobArrived("held", 0, 9000.0), api.SettingsChanged(
+        settings("z", "y", tenants=two[1:]))])
+    assert [c.spec.name for c in module.classes] == ["z", "y"] and module.classes[1] is y
+    assert y.index == 1 and module.classes[0].mean == 321.0  # the guess: a class of the same constraint
+    assert module.tenants == [b] and set(b.gaps) == set(module.classes)
+    assert module.jobs["held"].cls is x  # it began with that
+    module.handle(20.0, [api.JobArrived("new", 1, 9020.0)])
+    assert module.jobs["new"].cls is y
+    module.handle(500.0, [api.AttemptEnded("held", 0, "w", api.SERVED, 490.0, final=True)])
+    assert "held" not in module.jobs and x.seen == 1
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
@@ -61,6 +61,7 @@
     limits: Limits = field(default_factory=Limits)
     places: Places = field(default_factory=Places)
     known: Mapping[str, Any] | None = None
+    stated: frozenset[str] = frozenset()  # the keys that the file has
     inherited_fd: int | None = None  # listen on this descriptor; two runs may then serve beside each other
     link_dir: str | None = None  # where they find each other
     mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
@@ -250,6 +251,7 @@
 def read_config(raw: Any, environment: Mapping[str, str] | None = None) -> Config:
     """Check a decoded configuration. The environment's variables stand in for keys that are absent."""
     raw = dict(_object(raw, "configuration"))
+    stated = frozenset(_keys(raw))
     for key, variable in ENV_KEYS.items():
         if key not in raw and (environment or {}).get(variable):
             raw[key] = environment[variable]
@@ -283,9 +285,6 @@
         raise ConfigError(f"seed: {_show(seed)} is not a hexadecimal number") from None
     raw_limits = _object(raw["settings"].get("limits", {}), "settings.limits")
     margin = _number(timing.get("answer_margin_ms", 20.0), "timing.answer_margin_ms", 1.0, 1000.0)
-    shortest = min(c.deadline for c in settings.classes)
-    if margin * 2 > shortest:
-        raise ConfigError(f"timing.answer_margin_ms: {margin:g} is more than half of the shortest deadline")
     linger = _number(timing.get("linger_ms", 700.0), "timing.linger_ms", 0.0, 60000.0)
     # The platform's own rule: the longest deadline, at most 3 s of it, and 0.7 s more.
     grace = max(min(max(c.deadline for c in settings.classes), 3000.0) + 700.0, linger)
@@ -312,6 +311,7 @@
         places=places,
         known=raw.get("known"),
         mgmt=mgmt,
+        stated=stated,
         inherited_fd=inherited,
         link_dir=(environment or {}).get(ENV_TEMPORARY) or None,
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
@@ -323,10 +323,37 @@
     )
 
 
+_OF_A_START = ("known", "seed")
+
+
+def _keys(value: Any, path: str = "") -> Iterator[str]:
+    """The paths of a file's keys; of a list of objects those that all of them have."""
+    if isinstance(value, Mapping):
+        for key, below in value.items():
+            if path or (key not in _OF_A_START and not key.startswith("x-")):
+                at = f"{path}.{key}" if path else key
+                yield at
+                yield from _keys(below, at)
+    elif isinstance(value, list) and value and all(isinstance(item, Mapping) for item in value):
+        for key in sorted(set.intersection(*(set(item) for item in value))):
+            yield f"{path}[].{key}"
+
+
+def check_succession(before: Config, now: Config) -> None:
+    """Whether a configuration may follow another while the program serves."""
+    # Where the file in service has a key, its absence is a file cut short, not a wish for the default.
+    for key in sorted(before.stated - now.stated):
+        raise ConfigError(f"{key}: missing, the file in service has it")
+    for part, old, new in (("areas", before.places.zones, now.places.zones),
+                           ("kinds", before.places.kinds, now.places.kinds)):
+        if new[:len(old)] != old:
+            raise ConfigError(f"settings.{part}: may only grow while the program serves")
+
+
 def differing(before: Config, now: Config) -> list[str]:
     """The keys of the file in which two configurations differ, but for those that only a start uses."""
     return [_KEY_OF.get(f.name, f.name) for f in fields(Config)
-            if f.name not in ("known", "seed", "inherited_fd", "link_dir")
+            if f.name not in ("known", "seed", "stated", "inherited_fd", "link_dir")
             and getattr(before, f.name) != getattr(now, f.name)]
 
 
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -56,13 +56,17 @@
     """A job taken and not yet finally answered (or answered with attempts still out)."""
 
     __slots__ = (
-        "id", "cls", "tenant", "need", "run", "due", "wanted", "deadline", "over", "tries", "live", "held",
-        "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq", "hedged", "hinted",
+        "id", "cls", "spec", "most", "tenant", "need", "run", "due", "wanted", "deadline", "over", "tries",
+        "live", "held", "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq",
+        "hedged", "hinted",
     )
 
-    def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float, marked: bool = False):
+    def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float, rules: api.Settings):
         self.id = event.job
         self.cls = cls
+        # What it began with: other settings may come while it is open.
+        self.spec = cls.spec
+        self.most = rules.max_attempts
         self.tenant = event.tenant
         self.need = max(event.width, event.memory, 1e-3)
         self.run = run  # expected run time on an average worker
@@ -70,7 +74,8 @@
         cls.patience = max(cls.patience, event.deadline - now)
         # A client's retry is due by its first try. Where retries are not marked, less time left than its
         # class allows gives one away; where they are, an unmarked job is an impatient client's first try.
-        self.asked = min(now, event.deadline - cls.patience) if event.retry or not marked else now
+        late = event.retry or not rules.marks_retry
+        self.asked = min(now, event.deadline - cls.patience) if late else now
         self.arrived = now
         self.wanted = min(self.asked + cls.spec.aim + cls.spec.stretch * run, event.deadline)
         self.due = self.wanted - run  # T_k after the first asking: the latest start for the full worth
@@ -240,14 +245,20 @@
 
     __slots__ = ("spec", "floor", "quota", "credit", "at", "arrivals", "gaps")
 
-    def __init__(self, spec: api.Tenant, classes: int, dispatchers: int):
-        self.spec = spec
-        self.floor = spec.quota_per_s / 1000.0 / dispatchers
-        self.quota = self.floor  # this dispatcher's part of the share, jobs a millisecond; learned
-        self.credit = self.quota * SHARE_BURST + 2.0
+    def __init__(self, spec: api.Tenant, classes: list[ClassState], dispatchers: int):
         self.at = 0.0
         self.arrivals = 0
-        self.gaps = [Gap() for _ in range(classes)]
+        self.gaps: dict[ClassState, Gap] = {}
+        self.floor = -1.0
+        self.retune(spec, classes, dispatchers)
+
+    def retune(self, spec: api.Tenant, classes: list[ClassState], dispatchers: int) -> None:
+        self.spec = spec
+        self.gaps = {c: self.gaps.get(c) or Gap() for c in classes}
+        floor = spec.quota_per_s / 1000.0 / dispatchers
+        if floor != self.floor:
+            self.floor = self.quota = floor  # our part of the share, jobs a millisecond; learned
+            self.credit = floor * SHARE_BURST + 2.0
 
     def over_share(self, now: float) -> bool:
         if self.spec.quota_per_s <= 0.0:
@@ -363,7 +374,7 @@
         self.out: list[api.Action] = []
         self.classes = [ClassState(spec, i) for i, spec in enumerate(settings.classes)]
         tenants = settings.tenants or [api.Tenant("")]
-        self.tenants = [TenantState(t, len(self.classes), settings.dispatchers) for t in tenants]
+        self.tenants = [TenantState(t, self.classes, settings.dispatchers) for t in tenants]
         pools = sorted({spec.kind for spec in settings.classes})
         self.selectors = [Selector(kind) for kind in pools]
         self.by_kind = {s.kind: s for s in self.selectors}
@@ -415,6 +426,7 @@
             api.TimerFired: self._timer,
             api.WorkerList: self._list,
             api.WorkerReturned: self._returned,
+            api.SettingsChanged: self._retune,
         }
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
@@ -439,13 +451,49 @@
             self.out.append(api.SetTimer(TICKER, max(30.0, SWEEP * self.order[0].limit)))
         return self.out
 
+    def _retune(self, event: api.SettingsChanged) -> None:
+        """Other settings. Classes and tenants are known by their names and keep what was learned of them."""
+        self.settings = settings = event.settings
+        classes = {c.spec.name: c for c in self.classes}
+        tenants = {t.spec.name: t for t in self.tenants}
+        self.classes = []
+        for i, spec in enumerate(settings.classes):
+            c = classes.get(spec.name)
+            if c is None:
+                c = ClassState(spec, i)
+                like = [o for o in classes.values() if o.seen and (o.spec.aim, o.spec.stretch, o.spec.kind) ==
+                        (spec.aim, spec.stretch, spec.kind)]
+                if like:  # a better guess than none, and soon replaced by what is seen
+                    c.mean, c.hint_ratio, c.seen = like[0].mean, like[0].hint_ratio, 1
+            if c.spec.deadline != spec.deadline:
+                c.patience = 0.0
+            c.spec, c.index, c.late_pays = spec, i, spec.late_worth > 0
+            self.classes.append(c)
+        self.tenants = []
+        for party in settings.tenants or [api.Tenant("")]:
+            t = tenants.get(party.name) or TenantState(party, self.classes, settings.dispatchers)
+            t.retune(party, self.classes, settings.dispatchers)
+            self.tenants.append(t)
+        while len(self.kinds) < settings.kinds:
+            self.kinds.append(Kind())
+            self.kinds[-1].slots = self.kinds[-1].free = self.kinds[0].slots
+        for spec in settings.classes:
+            if spec.kind not in self.by_kind:
+                self.by_kind[spec.kind] = Selector(spec.kind)
+                self.selectors.append(self.by_kind[spec.kind])
+        self.slots_by_starts = settings.tells_start and not settings.report_fields
+        self.cross_fee = settings.fees.get("cross_zone", 0.0)
+        self.mean_worth = sum(c.worth for c in settings.classes) / len(settings.classes)
+        self._refresh()
+        self._regroup()
+
     # ---------------------------------------------------------------------------- arrivals: controller, gate
 
     def _arrived(self, event: api.JobArrived) -> None:
         now = self.now
         cls = self.classes[event.job_class]
         run = event.hint * cls.hint_ratio if event.hint > 0 else cls.mean
-        job = Job(event, cls, now, run, self.settings.marks_retry)
+        job = Job(event, cls, now, run, self.settings)
         self.jobs[job.id] = job
         self.count += 1
         heappush(self.ends, (job.deadline - 2.0 * self.settings.tick, self.count, job))
@@ -462,7 +510,7 @@
         self.probe_credit = min(4.0, self.probe_credit + PROBES_PER_JOB)
         self._control()
         rung = 0 if job.over else cls.rung
-        if rung < self.controller.gapped and not (not job.over and tenant.gaps[cls.index].passes(now)):
+        if rung < self.controller.gapped and not (not job.over and tenant.gaps[cls].passes(now)):
             self._refuse(job)
             return
         if now >= job.due:
@@ -554,7 +602,7 @@
             slots = max(0.0, slots - work * scale)
             for t in self.tenants:
                 part = t.quota / quota if quota > 0 else 1.0 / len(self.tenants)
-                gap = t.gaps[c.index]
+                gap = t.gaps[c]
                 gap.rate = rate * scale * part
             c.lam = rate * scale
         x = self._drain_time()
@@ -568,7 +616,7 @@
     # ----------------------------------------------------------------------------------------------- release
 
     def _hold(self, job: Job) -> None:
-        self.by_kind[job.cls.spec.kind].push(job)
+        self.by_kind[job.spec.kind].push(job)
         self.stirred = True
 
     def _release(self) -> None:
@@ -642,7 +690,7 @@
 
     def _choose(self, job: Job, now: float, need: float) -> Worker | None:
         """The worker with the earliest expected finish among a few, if one is thought to have room."""
-        kind = job.cls.spec.kind
+        kind = job.spec.kind
         slack = job.due - now
         whole = max(1.0, job.due - job.arrived)
         used = 1.0 - slack / whole
@@ -653,7 +701,7 @@
         cross = not near
         if far and not cross and self.cross_fee >= 0:
             # Crossing zones costs a fee; it pays once so much of the slack is used up.
-            gain = job.cls.spec.worth * (1.0 - job.cls.spec.late_worth)
+            gain = job.spec.worth * (1.0 - job.spec.late_worth)
             cross = used >= min(0.8, self.cross_fee * self.mean_worth / max(gain, 1e-9))
         for w in self.fresh + self.owed if self.owed else self.fresh:
             if (kind < 0 or w.kind_no == kind) and (cross or w.zone == zone):
@@ -705,7 +753,7 @@
 
     def _may_repeat(self, job: Job, w: Worker, now: float) -> bool:
         """Whether a job that may have run may run at this worker too."""
-        spec = job.cls.spec
+        spec = job.spec
         if spec.effect == api.SAFE:
             return True
         if spec.effect != api.KEYED or now - job.ran_at > spec.window * 0.95:
@@ -761,9 +809,13 @@
             for w in self.workers.values():
                 if not w.listed:
                     w.usable = False
+        self._regroup()
+
+    def _regroup(self) -> None:
+        """Count the usable workers, and sort them by kind and zone."""
         for kind in self.kinds:
             kind.count = 0
-        for pool in self.near:
+        for pool in self.by_kind:
             self.near[pool] = []
             self.far[pool] = []
         zone = self.settings.zone
@@ -1098,12 +1150,12 @@
 
     def _again(self, job: Job) -> None:
         """An attempt came to nothing: try again where the class allows, else answer."""
-        spec = job.cls.spec
+        spec = job.spec
         now = self.now
         if job.ran_at >= 0 and spec.effect == api.UNSAFE:
             self._finish(job)
             self.out.append(api.Fail(job.id))
-        elif job.tries >= self.settings.max_attempts or job.deadline - now < job.run * 0.5:
+        elif job.tries >= min(job.most, self.settings.max_attempts) or job.deadline - now < job.run * 0.5:
             self._give_up(job)
         elif job.ran_at >= 0 and spec.effect == api.KEYED and now - job.ran_at > spec.window * 0.9:
             self._give_up(job)
@@ -1114,7 +1166,7 @@
 
     def _give_up(self, job: Job) -> None:
         """The final answer for a job without attempts out: a refusal where the rules allow one."""
-        spec = job.cls.spec
+        spec = job.spec
         may_refuse = job.ran_at < 0 or spec.effect == api.SAFE or (
             spec.effect == api.KEYED and spec.group == "all")
         if may_refuse and not job.live:
@@ -1132,7 +1184,7 @@
             job.done = True
             self.jobs.pop(job.id, None)
             if job.held:
-                selector = self.by_kind[job.cls.spec.kind]
+                selector = self.by_kind[job.spec.kind]
                 if job.seq:
                     i = bisect_left(selector.queue, (job.due, job.seq))
                     if i < len(selector.queue) and selector.queue[i][2] is job:
@@ -1189,7 +1241,7 @@
                     w.slow_at = now
             if job.done or job.held or job.hedged or not s.second_copies:
                 continue
-            if job.cls.spec.effect != api.SAFE or job.tries >= s.max_attempts:
+            if job.spec.effect != api.SAFE or job.tries >= min(job.most, s.max_attempts):
                 continue
             quiet = now - (attempt.started or attempt.sent)
             patience = 3.0 * attempt.expected if attempt.started else 0.5 * job.run + 2.0 * MISSING
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -140,8 +140,9 @@
 
     # -- what the network code calls
 
-    async def pick(self, operation: Operation) -> RouteStep | BusyReply | Failure | None:
-        """Wait for the module's next choice for an operation; None once its client has left."""
+    def take(self, operation: Operation) -> None:
+        """Tell the module of an operation: in the moment that its class and tenant were looked up, since
+        other settings may move their positions."""
         if not operation.key:
             self._count += 1
             # The client's own id is not the key: two clients may send the same one.
@@ -149,6 +150,14 @@
             self._operations[operation.key] = operation
             self._put(api.JobArrived(operation.key, operation.job_class, operation.deadline, operation.tenant,
                                      operation.width, operation.memory, operation.hint, operation.retry))
+
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings, for every operation taken from now on."""
+        self._put(api.SettingsChanged(settings))
+
+    async def pick(self, operation: Operation) -> RouteStep | BusyReply | Failure | None:
+        """Wait for the module's next choice for an operation; None once its client has left."""
+        self.take(operation)
         if operation.choice is None and not operation.closed:
             operation.chosen = trio.Event()
             with trio.move_on_at(self.loop_time(operation.deadline + BACKSTOP)):
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -49,6 +49,9 @@
     """Turns a request's headers into an operation; used by every front."""
 
     def __init__(self, settings: Settings, margin: float):
+        self.retune(settings, margin)
+
+    def retune(self, settings: Settings, margin: float) -> None:
         self.settings = settings
         self.margin = margin
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
@@ -204,6 +207,10 @@
     def decoder(self) -> _Lines:
         return _Lines()
 
+    def turned_back(self, request: Request) -> Reply | None:
+        """A reply to what is no job, though it looks like one."""
+        return None
+
     async def respond(self, client: Client, operation: Operation, carried: Carried, closing: Closing) -> bool:
         """Carry an operation and reply; whether the connection may carry another request."""
         answer = await carried()
--- a/yewrill/fronts/progress.py
+++ b/yewrill/fronts/progress.py
@@ -17,7 +17,7 @@
 from yewrill.facade import BusyReply, Operation, RouteStep
 from yewrill.fronts.platform import Carried, Closing, Reader, passed_on, word_of
 from yewrill.net.destinations import Garbled, Word
-from yewrill.net.http import MAX_BODY, Reply
+from yewrill.net.http import MAX_BODY, Reply, Request
 from yewrill.net.listener import Client
 
 CONTENT_TYPE = "text/event-stream"
@@ -151,12 +151,12 @@
 
     # -- towards clients
 
+    def turned_back(self, request: Request) -> Reply | None:
+        """A reader that reconnects by itself would submit its job again: 204 tells it to stop."""
+        return Reply(204) if request.one(b"last-event-id") is not None else None
+
     async def respond(self, client: Client, operation: Operation, carried: Carried, closing: Closing) -> bool:
         """Open the stream, pass progress on, write the one final event. The connection ends with it."""
-        if operation.payload.one(b"last-event-id") is not None:
-            # A reader that reconnects by itself would submit its job again: 204 tells it to stop.
-            await client.send(client.http.whole(Reply(204), close=True))
-            return False
         head = client.http.head(200, HEADERS, close=True)
         if not await client.send(head + client.http.part(b": taken\n\n")):
             client.leave()
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -128,6 +128,13 @@
     since: float  # the clock time
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """From here on these settings hold; jobs that are open keep their class as it was."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class JobArrived:
     job: str
@@ -196,8 +203,8 @@
 
 
 Event = (
-    WorkerList | WorkerReturned | JobArrived | AttemptStarted | AttemptProgress | AnswerStarted
-    | AttemptEnded | ProbeEnded | ClientLeft | TimerFired
+    WorkerList | WorkerReturned | SettingsChanged | JobArrived | AttemptStarted | AttemptProgress
+    | AnswerStarted | AttemptEnded | ProbeEnded | ClientLeft | TimerFired
 )
 
 
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -79,8 +79,7 @@
         self._pool = pool
         self._codec = codec
         self._most = most
-        self._connect_timeout = connect_timeout
-        self._keep = idle_limit * IDLE_PART
+        self.retune(connect_timeout, idle_limit)
         self._idle: dict[str, list[_Line]] = {}
         self.open = 0
         self._settling: list[tuple[str, _Line, float]] = []
@@ -88,6 +87,11 @@
         pool.on_change = self._changed
         self.on_written: Callable[[], None] = lambda: None  # an attempt's last byte is written
 
+    def retune(self, connect_timeout: float, idle_limit: float) -> None:
+        """In seconds: how long a connection may take to come up, and how long it may stand idle there."""
+        self._connect_timeout = connect_timeout
+        self._keep = idle_limit * IDLE_PART
+
     # -- one route step
 
     async def attempt(self, step: RouteStep) -> tuple[Ending, Any]:
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -34,7 +34,7 @@
 
     def __init__(self, decisions: Decisions, places: Places):
         self._decisions = decisions
-        self._places = places
+        self.places = places
         self._known: dict[str, Destination] = {}
         self._out: set[str] = set()  # taken out by hand, listed or not
         self._back: dict[str, float] = {}  # put back lately, and when by the wall clock, in ms
@@ -110,7 +110,7 @@
 
     def apply(self, answer: dict[str, Any], cached: bool = False) -> None:
         """Take an answer of discovery's. Raises ConfigError on nonsense, leaving the list as it was."""
-        destinations = read_destinations(answer, "discovery", self._places)
+        destinations = read_destinations(answer, "discovery", self.places)
         version, full = answer["version"], cached or bool(answer.get("full"))
         before = dict(self._known)
         if full:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from yewrill.config import Config, ConfigError, differing
+from yewrill.config import Config, ConfigError, check_succession, differing
 from yewrill.core import Answer, Served, carry
 from yewrill.facade import BusyReply, Decisions, Operation
 from yewrill.figures import ERROR, OVERLOAD, SUCCESS, Figures
@@ -31,7 +31,8 @@
 FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
 # What a reload changes; all else stands for as long as the program runs.
-RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms")
+RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms", "settings", "places", "stated",
+            "connect_timeout_ms", "idle_close_ms")
 # Before the end of the grace that SIGTERM leaves: until when, in ms, requests are taken, and answers wait.
 LAST_REQUEST, LAST_ANSWER = 900.0, 250.0
 # How long, in seconds, an heir waits for discovery's own word before it serves by the elder's list.
@@ -130,15 +131,22 @@
             return
         try:
             config = self._load()
+            check_succession(self.config, config)
         except Exception as error:  # whatever is wrong with the file, the one that served so far goes on
             log.error("reload-refused %s", error if isinstance(error, ConfigError) else repr(error))
             self.figures.reloaded(False)
             return
         self.config = taken = replace(self.config, **{key: getattr(config, key) for key in RELOADED})
-        self.front.reader.margin = taken.answer_margin_ms
+        # In one moment: what is read from here on has the new positions, here and in the module.
+        self.front.reader.retune(taken.settings, taken.answer_margin_ms)
+        self.decisions.retune(taken.settings)
+        self.figures.know(c.name for c in taken.settings.classes)
+        self.pool.places = taken.places
+        self.destinations.retune(taken.connect_timeout_ms / 1000.0, taken.idle_close_ms / 1000.0)
         self.watch.move(taken.discovery)
         self.figures.reloaded(True)
-        log.info("reloaded discovery=%s:%d", *taken.discovery)
+        log.info("reloaded discovery=%s:%d classes=%s", *taken.discovery,
+                 ",".join(c.name for c in taken.settings.classes))
         if others := differing(taken, config):
             log.warning("reload-ignored keys=%s: a restart takes them up", ",".join(others))
 
@@ -306,7 +314,11 @@
                     (self.handover is not None and self.handover.open_elsewhere(operation.id)):
                 # Still at a client or out at a destination: two of one id can't be told apart there.
                 raise BadRequest(409, "X-Request-ID is in use")
+            if (turned_back := self.front.turned_back(request)) is not None:
+                await client.send(client.http.whole(turned_back, close=True))
+                return False
             self._take_id(operation.id)
+            self.decisions.take(operation)
             job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
             try:
@@ -317,6 +329,8 @@
                         lambda: self._closing(client))
             finally:
                 client.operation = None
+                if not operation.closed:  # whatever befell this exchange, the module is not left with it
+                    self.decisions.left(operation)
                 self._free_id(operation.id)
         close = self._closing(client)
         return await client.send(client.http.whole(reply, close)) and not close
