Learn a worker's speed only against classes whose run time is known

At fault: decide._served took run / job.run for the worker's speed while job.run was the guess of a class never seen (50 ms for 450 ms), and a worker taken for slow gets too few jobs to be learned anew. Every restart and upgrade begins so.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -593,3 +593,20 @@
     assert module.jobs["new"].cls is y
     module.handle(500.0, [api.AttemptEnded("held", 0, "w", api.SERVED, 490.0, final=True)])
     assert "held" not in module.jobs and x.seen == 1
+
+
+def test_a_class_not_known_yet_makes_no_worker_look_slow():
+    settings = api.Settings([api.JobClass("tour", 100.0, 9000.0, stretch=9.0)], tells_start=True)
+    module = Dispatcher(settings, 1)
+    module.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
+    w, now = module.workers["w"], 0.0
+    ratios = []
+    for i in range(20):  # ten times as long as the guess
+        sent = [a.job for a in module.handle(now, [api.JobArrived(f"j{i}", 0, now + 9000.0)])
+                if isinstance(a, api.Send)]
+        assert sent == [f"j{i}"]
+        module.handle(now + 1.0, [api.AttemptStarted(f"j{i}", 0, "w")])
+        module.handle(now + 501.0, [api.AttemptEnded(f"j{i}", 0, "w", api.SERVED, 501.0, final=True)])
+        ratios.append(module._ratio(w, now))
+        now += 1000.0
+    assert max(ratios) < 1.1 and w.seen > 0
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -46,6 +46,7 @@
 NO_WORD = 1.5  # a running job without a word for this many progress intervals is lost
 OWED = 1500.0  # a worker back from operators' hands gets a job by then, even one that will be late
 OWED_AGAIN = 500.0  # and another one after this time without a sign of life
+KNOWN = 6  # run times seen of a class before its mean tells anything of a worker's speed
 COLD_SAFETY = 0.5  # the part of the cold budget that is used
 
 
@@ -56,8 +57,8 @@
     """A job taken and not yet finally answered (or answered with attempts still out)."""
 
     __slots__ = (
-        "id", "cls", "spec", "most", "tenant", "need", "run", "due", "wanted", "deadline", "over", "tries",
-        "live", "held", "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq",
+        "id", "cls", "spec", "most", "tenant", "need", "run", "known", "due", "wanted", "deadline", "over",
+        "tries", "live", "held", "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq",
         "hedged", "hinted",
     )
 
@@ -70,6 +71,7 @@
         self.tenant = event.tenant
         self.need = max(event.width, event.memory, 1e-3)
         self.run = run  # expected run time on an average worker
+        self.known = cls.seen >= KNOWN  # that is more than a guess
         self.deadline = event.deadline
         cls.patience = max(cls.patience, event.deadline - now)
         # A client's retry is due by its first try. Where retries are not marked, less time left than its
@@ -1124,9 +1126,10 @@
         cls = job.cls
         ratio = min(20.0, run / max(1.0, job.run))
         cls.observe(run, job.run, job.hinted)
-        w.kind.ratio += 0.02 * (ratio - w.kind.ratio)
-        w.ratio += (ratio - w.ratio) / min(8.0, w.seen + 1.0)
-        w.seen = min(8.0, w.seen + 1.0)
+        if job.known:  # against a guess, every worker looks slow
+            w.kind.ratio += 0.02 * (ratio - w.kind.ratio)
+            w.ratio += (ratio - w.ratio) / min(8.0, w.seen + 1.0)
+            w.seen = min(8.0, w.seen + 1.0)
         if w.errors:
             w.errors *= 0.8
         self.errors *= 0.99
@@ -1234,7 +1237,7 @@
             if s.may_cancel and not attempt.silent and self._is_silent(attempt, now):
                 attempt.silent = True
                 self.out.append(api.Cancel(job.id, attempt.number))
-            if attempt.started:
+            if attempt.started and job.known:
                 run = now - attempt.started
                 if run > 3.0 * attempt.expected and run / job.run > w.slow:
                     w.slow = min(20.0, run / job.run)
