Let a job that was held for long queue less at workers, not more

A trace of every served job: those late were held 300 to 530 ms here and then waited 350 to 500 ms at the worker on top, with 6 and more of ours there (84 of 149 late at 8 and more). At fault: decide._choose let a job queue for more of the tightest time constraint the less slack it had left, by an estimate of the wait that was 58 ms where 355 were waited. Ruled out: refusals by share (taking a shift of all tenants' rates into account gained nothing), the two profilers put back (0 unused), CPU.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -13,7 +13,7 @@
 
 from yewrill import interface as api
 from yewrill.config import read_config
-from yewrill.decide import Dispatcher
+from yewrill.decide import HELD_TIMER, Dispatcher
 from yewrill.ending import Ending
 from yewrill.facade import Operation
 from yewrill.net.handover import link_path
@@ -595,6 +595,22 @@
     assert "held" not in module.jobs and x.seen == 1
 
 
+@pytest.mark.parametrize("held_for, queues", [(0.0, True), (450.0, False)])
+def test_a_job_that_was_held_for_long_does_not_queue_at_a_worker_on_top(held_for, queues):
+    settings = api.Settings([api.JobClass("tour", 1000.0, 9000.0)], tells_start=True)
+    module = Dispatcher(settings, 1)
+    module.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
+    w, job = module.workers["w"], None
+    module.residual = 200.0
+    w.cap = w.inflight = w.running = 5.0  # full, of jobs that have started
+    w.blocked = held_for
+    module.handle(0.0, [api.JobArrived("a", 0, 9000.0)])
+    job = module.jobs["a"]
+    assert (job.due, job.tries) == (500.0, int(queues))
+    module.handle(held_for, [api.TimerFired(HELD_TIMER)])
+    assert job.tries == int(queues)
+
+
 def test_a_class_not_known_yet_makes_no_worker_look_slow():
     settings = api.Settings([api.JobClass("tour", 100.0, 9000.0, stretch=9.0)], tells_start=True)
     module = Dispatcher(settings, 1)
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -35,7 +35,7 @@
 REPORT_LAG = 200.0  # sends younger than this are taken not to be in a worker's report yet
 SHARE_BURST = 3000.0  # a tenant may run ahead of its share by this much traffic
 SHARE_MEMORY = 30000.0  # how slowly this dispatcher's part of a tenant's share is learned
-QUEUE_PART = 0.3  # the part of the tightest time constraint that a job may queue at a worker from the first
+QUEUE_PART = 0.3  # the part of the tightest time constraint that a job may queue at a worker
 LATE_IDLE = 0.3  # jobs are served late only while this share of the slots is thought free
 SLOTS_GUESS = 5.0  # slots of a worker until start notices tell: too few cost every job of the first seconds
 MISSING = 60.0  # a start notice later than this means that the job waits at the worker
@@ -718,7 +718,7 @@
                     candidates.append(group[int(rng() * size)])
         best = None
         best_finish = 1e18
-        allowed = -1.0 if job.over else self.order[0].limit * (QUEUE_PART + (1.0 - QUEUE_PART) * used)
+        allowed = -1.0 if job.over else self.order[0].limit * QUEUE_PART * min(1.0, 2.0 - 2.0 * used)
         for w in candidates:
             if not w.usable or w.blocked > now or (w is job.last and len(candidates) > 1):
                 continue
@@ -730,7 +730,8 @@
             if w.inflight <= 0.0 and self.slots_by_starts:
                 spare = max(spare, 0.0)  # nothing of ours is there: no place is better, however wide the job
             # Exception to waiting for a free slot: what is known of slots is stale, so a job may queue at a
-            # worker for part of the tightest time constraint, more of it the less slack is left.
+            # worker for part of the tightest time constraint. Past half of its slack ever less: what is
+            # thought of queues is too little, and a job held for long would end late after waiting there.
             wait = drain * (0.5 - spare if spare < 0 else 0.5 / (1.0 + spare))
             if w.unstarted and now - w.waiting_since > MISSING:
                 wait += now - w.waiting_since
