A caller at the very end or a fault of the link ends no run and loses no heir

Seen by reading, then by the tests: Door.close took the backlog into a nursery that was closed (RuntimeError at exit, status 1); after a fault in its standing task the link joined itself by its own name and accepted no heir any more. At fault: Door.close, HandOver.run. Both tests fail without the change.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio.testing
 from helper import Client, Peer, done, story, world
 
 from yewrill import interface as api
@@ -16,7 +17,8 @@
 from yewrill.decide import HELD_TIMER, Dispatcher
 from yewrill.ending import Ending
 from yewrill.facade import Operation
-from yewrill.net.handover import link_path
+from yewrill.net.door import Door
+from yewrill.net.handover import HandOver, link_path
 from yewrill.service import Service
 
 MGMT = {"mgmt": "127.0.0.1:0"}
@@ -626,3 +628,39 @@
         ratios.append(module._ratio(w, now))
         now += 1000.0
     assert max(ratios) < 1.1 and w.seen > 0
+
+
+@story
+async def test_a_caller_in_the_backlog_at_the_very_end_spoils_no_exit():
+    door = Door(("127.0.0.1", 0), {})
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(door.run)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    late = await trio.open_tcp_stream(*door.address)
+    door.close()
+    await late.aclose()
+
+
+@story
+async def test_after_a_fault_of_the_link_heirs_still_find_the_elder(monkeypatch):
+    async with shared_world(Peer("d1", done)) as w:
+        accept, faults = HandOver._accept, []
+
+        async def fails_once(self, sock):
+            if not faults:
+                faults.append(await trio.lowlevel.wait_readable(sock))
+                raise RuntimeError("fault")
+            await accept(self, sock)
+
+        monkeypatch.setattr(HandOver, "_accept", fails_once)
+        w.elder.handover._close_name()
+        w.elder.handover.take_name()
+        with socket.socket(socket.AF_UNIX) as stray:
+            directory = os.open(w.shared.directory, os.O_RDONLY)
+            stray.connect(f"/proc/self/fd/{directory}/{w.shared.link().name}")
+            os.close(directory)
+            await w.until(lambda: faults)
+        await trio.sleep(0.2)  # the standing task begins anew
+        await start_heir(w)
+        assert w.elder.handover.heir_ready
--- a/yewrill/net/door.py
+++ b/yewrill/net/door.py
@@ -36,7 +36,7 @@
         await self._listener.run()
 
     def close(self) -> None:
-        self._listener.stop_accepting()
+        self._listener.stop_accepting(take_backlog=False)  # nobody is left to serve it
 
     async def _handle(self, client: Client, request: Request) -> bool:
         await client.send(client.http.whole(await self._reply(request), close=True))
--- a/yewrill/net/handover.py
+++ b/yewrill/net/handover.py
@@ -136,8 +136,10 @@
     async def run(self) -> None:
         """Join the elder, if there is one, and serve heirs from `take_name` on."""
         async with trio.open_nursery() as self._nursery:
-            connection = await self._find()
-            if connection is None:
+            if self.joined.is_set():  # anew after a fault: whoever has the name now is no elder of ours
+                self._close_name()
+                self.take_name()
+            elif (connection := await self._find()) is None:
                 self.joined.set()
             else:
                 self._nursery.start_soon(self._follow, _Link(connection, elder=True))
