--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,171 @@
+"""The store with its threads, on a real directory; its policy; two processes; the command line."""
+
+from __future__ import annotations
+
+import errno
+import random
+import subprocess
+import sys
+import threading
+
+import pytest
+import trio
+from store_world import RULES
+
+from yewrill.store import Batch, Conflict, Store, StoreBusy, StoreClosed, StoreError, StorePoisoned, policy
+from yewrill.store import store as store_module
+from yewrill.store.policy import Pacer, Rules, SegmentFacts, choose, everything, may_drop_deletion, sync_due
+from yewrill.store.simdisk import SimulatedDisk
+
+
+def test_many_writers_share_syncs_and_lose_nothing(tmp_path):
+    with Store(tmp_path, segment_size=20_000, rules=RULES, reserve=0, compaction_rate=0) as store:
+        threads = [threading.Thread(target=lambda n=n: [store.put(b"%d/%d" % (n, i % 10), b"%d" % i)
+                                                        for i in range(60)]) for n in range(16)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):  # readers beside them see only what was written
+            for _, value in store.scan():
+                assert 0 <= int(value) < 60
+        for thread in threads:
+            thread.join()
+        assert store.stat()["syncs"] < 960
+        assert store.stat()["last_version"] == 960
+        held = dict(store.scan())
+        store.backup(tmp_path / "copy")
+    assert held == {b"%d/%d" % (n, i): b"%d" % (50 + i) for n in range(16) for i in range(10)}
+    for path in (tmp_path, tmp_path / "copy"):
+        with Store(path) as store:
+            assert dict(store.scan()) == held and not store.stat()["findings"]
+            assert store.compact() and dict(store.scan()) == held
+            assert store.stat()["segments"] == 1
+
+
+def test_writing_from_trio_does_not_block_the_loop(tmp_path):
+    async def main():
+        with Store(tmp_path) as store:
+            async with trio.open_nursery() as nursery:
+                for i in range(50):
+                    nursery.start_soon(store.awrite, Batch().put(b"%d" % i, b"x"))
+            assert len(list(store.scan())) == 50
+            with pytest.raises(Conflict):
+                await store.awrite(Batch().require(b"1", 0).put(b"1", b"y"))
+            assert store.put_if(b"1", b"y", store.find(b"1").version) and store.get(b"1") == b"y"
+
+    trio.run(main)
+
+
+def test_a_full_queue_says_so_and_a_closed_store_too(monkeypatch):
+    monkeypatch.setattr(store_module, "MOST_WAITING", 4)
+    disk, gate = SimulatedDisk(), threading.Event()
+    disk.fail = lambda number, word, name: gate.wait(10) and None if word == "sync" else None
+    store = Store(disk, reserve=0)
+    results = []
+    with pytest.raises(StoreBusy):
+        for i in range(20):
+            store.submit(Batch().put(b"%d" % i, b""), results.append)
+    gate.set()
+    store.close()
+    assert 4 <= len(results) == len([r for r in results if isinstance(r, int)])
+    with pytest.raises(StoreClosed):
+        store.put(b"k", b"v")
+
+
+def test_interval_acknowledges_first_and_syncs_later():
+    disk, synced = SimulatedDisk(), threading.Event()
+    with Store(disk, mode="interval", interval=0.01, reserve=0) as store:
+        store.put(b"first", b"")  # makes the segment, whose header is synced at once
+        disk.fail = lambda number, word, name: synced.set() if word == "sync" else None
+        store.put(b"k", b"v")
+        assert store.get(b"k") == b"v" and synced.wait(5)
+    with Store(SimulatedDisk(), mode="never", reserve=0) as store:
+        store.put(b"k", b"v")
+        assert store.stat()["syncs"] == 0
+    with pytest.raises(ValueError):
+        Store(SimulatedDisk(), mode="sometimes")
+
+
+def test_a_poisoned_store_refuses_writes_and_reads_on(caplog):
+    disk = SimulatedDisk()
+    with Store(disk, reserve=0) as store:
+        store.put(b"k", b"v")
+        disk.fail = lambda number, word, name: errno.EIO if word == "sync" else None
+        for _ in range(2):
+            with pytest.raises(StorePoisoned):
+                store.put(b"k", b"w")
+        assert store.get(b"k") == b"v"
+    assert [record.getMessage()[:14] for record in caplog.records] == ["store-poisoned"]
+
+
+def test_bounds_of_keys_values_and_batches():
+    for bad in (lambda: Batch().put(b"", b""), lambda: Batch().put(b"k" * 4097, b""),
+                lambda: Batch().put(b"k", bytes(16 * 2**20 + 1)), lambda: Batch().put(b"k", b"", 2**63)):
+        with pytest.raises(StoreError):
+            bad()
+    batch = Batch()
+    with pytest.raises(StoreError, match="batch"):
+        for _ in range(5):
+            batch.put(b"k", bytes(16 * 2**20 - 100))
+    with Store(SimulatedDisk(), reserve=0) as store:
+        store.put(b"k" * 4096, bytes(2**20))
+        assert len(store.get(b"k" * 4096)) == 2**20
+
+
+def test_a_second_process_is_refused_and_told_who_has_it(tmp_path):
+    code = f"from yewrill.store import Store\ntry: Store({str(tmp_path)!r})\nexcept Exception as e: print(e)"
+    with Store(tmp_path):
+        import os
+        said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout
+        assert said.startswith(f"{tmp_path}: held by process {os.getpid()} on ") and said.count("\n") == 1
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == ""
+
+
+# -- the policy
+
+
+def test_what_is_compacted():
+    rules = Rules(garbage_share=0.5, least_garbage=100, fan_in=3, smallest=1000, most_output=5000)
+    full = [SegmentFacts(n, 900, 900) for n in (1, 2)]
+    assert choose(full, rules) == []
+    assert choose([*full, SegmentFacts(3, 900, 900)], rules) == [1, 2, 3]
+    assert choose([*full, SegmentFacts(4, 1000, 480)], rules) == [4]
+    assert choose([full[0], SegmentFacts(4, 150, 60)], rules) == []  # not worth a file
+    assert choose([*full, SegmentFacts(5, 10**6, 400, damaged=True)], rules) == [5]
+    # Deletions that must stay are no garbage: else they would be rewritten for ever.
+    assert choose([SegmentFacts(1, 1000, 100, 850)], rules) == []
+    # Short of room: whatever gives most back, within what can be written.
+    assert choose([SegmentFacts(1, 1000, 900), SegmentFacts(2, 4000, 300)], rules, 350) == [2]
+    assert choose([SegmentFacts(1, 1000, 1000)], rules, 10**6) == []
+    assert everything([SegmentFacts(1, 1000, 1000)], rules) == []
+    assert everything([*full, SegmentFacts(3, 4500, 4500)], rules) == [1, 2]
+    assert may_drop_deletion(5, [6, 9]) and not may_drop_deletion(5, [6, 4])
+
+
+def test_compacting_by_the_policy_comes_to_an_end_and_bounds_the_number_of_files():
+    rng, segments, written, number = random.Random(3), {}, 0, 0
+    for _ in range(3000):
+        number += 1
+        segments[number] = SegmentFacts(number, 3000, 3000 - rng.randrange(400))
+        for _ in range(20):
+            if not (chosen := choose(list(segments.values()), RULES)):
+                break
+            live = sum(segments.pop(n).live for n in chosen)
+            written += live
+            number += 1
+            segments[number] = SegmentFacts(number, live, live)
+        else:
+            raise AssertionError("no end")
+    assert len(segments) < 40 and written < 8 * 3000 * 3000
+
+
+def test_background_work_keeps_to_its_rate_and_syncs_to_their_time():
+    pacer, now, spent = Pacer(1000.0, 250.0), 0.0, 0
+    while now < 20.0:
+        now += pacer.spend(100, now)
+        spent += 100
+    assert 19_000 <= spent <= 21_000
+    assert Pacer(0, 0).spend(10**9, 1.0) == 0.0
+    assert sync_due("always", True, 5.0, 5.0, 1.0) == 0.0 and sync_due("never", True, 0, 9, 1) is None
+    assert sync_due("interval", True, 5.0, 5.4, 1.0) == pytest.approx(0.6)
+    assert sync_due("interval", False, 5.0, 5.4, 1.0) is None
+    assert policy.Rules().tier(1) == 0 < policy.Rules().tier(10**6) < policy.Rules().tier(10**9)
--- /dev/null
+++ b/yewrill/store/__init__.py
@@ -0,0 +1,29 @@
+"""An embedded key-value store for what must outlive a crash. It imports nothing else of yewrill.
+
+It promises: in mode `always` an acknowledged write is on disk; a batch is whole or absent; an opening never
+fails for what lies in the directory, and tells what was damaged. It doesn't promise: more than one process,
+keys beyond memory, or an older version of a key once it is overwritten (but to a snapshot).
+
+How the parts work together: `Store` (store.py) queues batches for one committing thread and runs compaction
+beside it; both call `Engine` (engine.py), which has no thread and no clock and writes frames (format.py) to
+segments through a small protocol of files (files.py; simdisk.py crashes). `recovery.py` turns a directory
+into an engine's state, `policy.py` chooses what to compact. `docs/store-format.md` has the bytes,
+`docs/store.md` is for operators.
+"""
+
+from yewrill.store.errors import (
+    Conflict,
+    DamagedValue,
+    StoreBusy,
+    StoreClosed,
+    StoreError,
+    StoreFull,
+    StoreHeld,
+    StorePoisoned,
+    StoreReadOnly,
+)
+from yewrill.store.format import Batch
+from yewrill.store.store import Store
+
+__all__ = ["Batch", "Conflict", "DamagedValue", "Store", "StoreBusy", "StoreClosed", "StoreError",
+           "StoreFull", "StoreHeld", "StorePoisoned", "StoreReadOnly"]
--- /dev/null
+++ b/yewrill/store/errors.py
@@ -0,0 +1,47 @@
+"""What a store can answer instead of doing what it was asked."""
+
+from __future__ import annotations
+
+
+class StoreError(Exception):
+    """Anything that a store could not do."""
+
+
+class StoreHeld(StoreError):
+    """Another process has the directory; the text names it."""
+
+
+class StoreFull(StoreError):
+    """The disk is full. Nothing of the batch was written; later ones may succeed."""
+
+
+class StorePoisoned(StoreError):
+    """A sync failed, so nobody knows what is on disk: no write is taken any more. Reads go on."""
+
+
+class StoreReadOnly(StoreError):
+    """The directory can't be written. Reads go on."""
+
+
+class StoreBusy(StoreError):
+    """More waits to be written than is taken."""
+
+
+class StoreClosed(StoreError):
+    """The store was closed."""
+
+
+class Conflict(StoreError):
+    """A batch's condition does not hold; nothing of it was written."""
+
+    def __init__(self, key: bytes, expected: int, found: int):
+        super().__init__(f"{key!r}: expected version {expected}, found {found}")
+        self.key, self.expected, self.found = key, expected, found
+
+
+class DamagedValue(StoreError):
+    """The bytes of this value are not what was written."""
+
+    def __init__(self, key: bytes, segment: str, offset: int):
+        super().__init__(f"{key!r}: damaged in {segment} at {offset}")
+        self.key, self.segment, self.offset = key, segment, offset
--- /dev/null
+++ b/yewrill/store/files.py
@@ -0,0 +1,199 @@
+"""The few calls that a store makes on a directory, and the real ones.
+
+A store's files are named flat, but for those under `quarantine/`. Errors are OSErrors. `simdisk.py` has the
+same calls on a disk that crashes.
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+import socket
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Protocol
+
+from yewrill.store.errors import StoreHeld
+
+QUARANTINE = "quarantine/"
+LOCK = "LOCK"
+
+
+class Handle(Protocol):
+    """An open file. It closes when nobody refers to it any more, so a reader never sees it close."""
+
+    def read(self, size: int, offset: int) -> bytes: ...
+
+    def write(self, data: bytes, offset: int) -> int:
+        """The number of bytes written, which may be fewer than asked."""
+        ...
+
+    def truncate(self, size: int) -> None: ...
+
+    def sync(self) -> None:
+        """All that was written to the file is on disk, its size included; its name need not be."""
+        ...
+
+    def size(self) -> int: ...
+
+
+class Files(Protocol):
+    """One directory."""
+
+    def list(self) -> list[str]: ...
+
+    def open(self, name: str, *, write: bool = False, create: bool = False) -> Handle: ...
+
+    def rename(self, old: str, new: str) -> None: ...
+
+    def remove(self, name: str) -> None: ...
+
+    def sync_names(self) -> None:
+        """Names made, changed and removed so far are on disk."""
+        ...
+
+    def reserve(self, name: str, size: int) -> None:
+        """Make a file of this size whose room is really taken."""
+        ...
+
+    def lock(self) -> None:
+        """Take the directory for this process. Raises StoreHeld."""
+        ...
+
+    def unlock(self) -> None: ...
+
+
+def write_all(handle: Handle, data: bytes, offset: int) -> None:
+    """Write all of it, however short the single writes are. Raises OSError."""
+    view = memoryview(data)
+    while view:
+        count = handle.write(view, offset)
+        if count <= 0:
+            raise OSError(errno.EIO, "a write that writes nothing")
+        view = view[count:]
+        offset += count
+
+
+def read_file(files: Files, name: str) -> bytes:
+    handle = files.open(name)
+    return handle.read(handle.size(), 0)
+
+
+def write_file(files: Files, name: str, data: bytes) -> None:
+    """Write a file anew and bring it to disk; its name is not synced."""
+    handle = files.open(name, write=True, create=True)
+    handle.truncate(0)
+    write_all(handle, data, 0)
+    handle.sync()
+
+
+class RealHandle:
+    __slots__ = ("_fd",)
+
+    def __init__(self, path: Path, flags: int):
+        self._fd = -1
+        self._fd = os.open(path, flags | os.O_CLOEXEC, 0o600)
+
+    def read(self, size: int, offset: int) -> bytes:
+        data = os.pread(self._fd, size, offset)
+        while len(data) < size and (more := os.pread(self._fd, size - len(data), offset + len(data))):
+            data += more
+        return data
+
+    def write(self, data: bytes, offset: int) -> int:
+        return os.pwrite(self._fd, data, offset)
+
+    def truncate(self, size: int) -> None:
+        os.ftruncate(self._fd, size)
+
+    def sync(self) -> None:
+        os.fdatasync(self._fd)  # a file's size is part of what it syncs
+
+    def size(self) -> int:
+        return os.fstat(self._fd).st_size
+
+    def __del__(self) -> None:
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+
+
+class RealFiles:
+    """A directory of the system's. `make` creates it if it is absent."""
+
+    def __init__(self, path: str | Path, make: bool = True):
+        self.path = Path(path)
+        self._lock = -1
+        if make:
+            self.path.mkdir(mode=0o700, parents=True, exist_ok=True)
+
+    def list(self) -> list[str]:
+        names = [entry.name for entry in os.scandir(self.path) if entry.is_file()]
+        with suppress(FileNotFoundError):
+            names += [QUARANTINE + entry.name for entry in os.scandir(self.path / QUARANTINE)]
+        return sorted(names)
+
+    def open(self, name: str, *, write: bool = False, create: bool = False) -> RealHandle:
+        path = self.path / name
+        if create and name.startswith(QUARANTINE):
+            path.parent.mkdir(mode=0o700, exist_ok=True)
+        return RealHandle(path, (os.O_RDWR if write else os.O_RDONLY) | (os.O_CREAT if create else 0))
+
+    def rename(self, old: str, new: str) -> None:
+        if new.startswith(QUARANTINE):
+            (self.path / QUARANTINE).mkdir(mode=0o700, exist_ok=True)
+        os.rename(self.path / old, self.path / new)
+
+    def remove(self, name: str) -> None:
+        os.unlink(self.path / name)
+
+    def sync_names(self) -> None:
+        for path in (self.path / QUARANTINE, self.path):
+            try:
+                fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+            except FileNotFoundError:
+                continue
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+
+    def reserve(self, name: str, size: int) -> None:
+        fd = os.open(self.path / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            os.posix_fallocate(fd, 0, size)
+        except OSError:
+            self.remove(name)
+            raise
+        finally:
+            os.close(fd)
+
+    def lock(self) -> None:
+        path = self.path / LOCK
+        try:
+            fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            if error.errno not in (errno.EROFS, errno.EACCES, errno.EPERM):
+                raise
+            try:  # a directory that can't be written can be read beside any other reader
+                fd = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+            except OSError:
+                return
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            holder = os.pread(fd, 200, 0).decode(errors="replace").strip() or "an unnamed process"
+            os.close(fd)
+            raise StoreHeld(f"{self.path}: held by {holder}") from None
+        self._lock = fd
+        with suppress(OSError):  # who holds it is a kindness; that it is held is not
+            os.ftruncate(fd, 0)
+            since = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
+            os.pwrite(fd, f"process {os.getpid()} on {socket.gethostname()} since {since}\n".encode(), 0)
+
+    def unlock(self) -> None:
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
--- /dev/null
+++ b/yewrill/store/store.py
@@ -0,0 +1,307 @@
+"""A store as the rest of a program uses it: group commit in one thread, compaction in another, a blocking
+and a trio face.
+
+The committing thread takes all batches that wait, has the engine write and sync them as one, and tells each
+its result. In mode `always` that is after the sync. In `interval` a batch is acknowledged when the system
+has it, and synced within the interval; in `never`, whenever the system likes. The maintaining thread
+compacts, no faster than it may, and writes hints.
+"""
+
+from __future__ import annotations
+
+import errno
+import logging
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Future
+from pathlib import Path
+
+import trio
+
+from yewrill.store import policy
+from yewrill.store.engine import Engine, Found, Snapshot
+from yewrill.store.errors import StoreBusy, StoreClosed, StoreError, StorePoisoned
+from yewrill.store.files import Files, RealFiles
+from yewrill.store.format import Batch
+
+log = logging.getLogger("yewrill.store")
+
+MODES = ("always", "interval", "never")
+MOST_WAITING = 8192  # batches
+MOST_WAITING_BYTES = 128 * 1024 * 1024
+MOST_GROUP = 1024  # batches in one commit
+MOST_GROUP_BYTES = 16 * 1024 * 1024
+LOOK_EVERY = 5.0  # seconds between looks for something to compact
+AFTER_TROUBLE = 30.0  # seconds before maintenance tries again
+
+Done = Callable[[int | StoreError], None]
+
+
+def wall_clock() -> int:
+    """Milliseconds since the epoch."""
+    return int(time.time() * 1000.0)
+
+
+class Store:
+    """Opens a directory and holds it until `close`. Every method may be called from any thread."""
+
+    def __init__(self, path: str | Path | Files, *, mode: str = "always", interval: float = 1.0,
+                 clock: Callable[[], int] = wall_clock, segment_size: int = 32 * 1024 * 1024,
+                 reserve: int = 8 * 1024 * 1024, compaction_rate: float = 16 * 1024 * 1024,
+                 rules: policy.Rules | None = None, maintain: bool = True):
+        """`interval` in seconds; sizes in bytes, `compaction_rate` in bytes a second (0: unbounded).
+        Raises StoreHeld if another process has the directory, OSError if there can be none."""
+        if mode not in MODES:
+            raise ValueError(f"mode: {mode!r} is not one of {', '.join(MODES)}")
+        self.mode = mode
+        self.clock = clock
+        self._interval = interval
+        self._rate = compaction_rate
+        files = RealFiles(path) if isinstance(path, (str, Path)) else path
+        self.engine = Engine(files, salt=lambda: random.SystemRandom().getrandbits(32), rules=rules,
+                             segment_size=segment_size, reserve=reserve)
+        for finding in self.engine.findings:
+            log.warning("store-finding %s", finding)
+        self._waiting: deque[tuple[Batch, Done]] = deque()
+        self._waiting_bytes = 0
+        self._changed = threading.Condition()
+        self._closing = False
+        self._dirty_since = 0.0
+        self._stop = threading.Event()
+        self._look = threading.Event()
+        self._maintaining = threading.Lock()  # one compaction at a time
+        self._threads = [threading.Thread(target=self._commit_loop, name="store-commit", daemon=True)]
+        if maintain:
+            self._threads.append(
+                threading.Thread(target=self._maintain_loop, name="store-maintain", daemon=True))
+        for thread in self._threads:
+            thread.start()
+
+    # ----------------------------------------------------------------------------------------------- writing
+
+    def submit(self, batch: Batch, done: Done) -> None:
+        """Queue a batch; `done` is called in the committing thread with its version, or with what went wrong.
+        Raises StoreBusy when too much waits."""
+        with self._changed:
+            if self._closing:
+                raise StoreClosed("the store is closed")
+            if len(self._waiting) >= MOST_WAITING or (
+                    self._waiting and self._waiting_bytes + batch.size > MOST_WAITING_BYTES):
+                raise StoreBusy(f"{len(self._waiting)} batches wait already")
+            self._waiting.append((batch, done))
+            self._waiting_bytes += batch.size
+            if len(self._waiting) == 1:
+                self._changed.notify_all()
+
+    def write(self, batch: Batch) -> int:
+        """Write a batch, and wait until it is acknowledged. Its first operation's version. Raises
+        StoreError."""
+        future: Future[int] = Future()
+
+        def done(result: int | StoreError) -> None:
+            if isinstance(result, int):
+                future.set_result(result)
+            else:
+                future.set_exception(result)
+
+        while True:
+            try:
+                self.submit(batch, done)
+                return future.result()
+            except StoreBusy:
+                with self._changed:
+                    self._changed.wait(0.1)
+
+    async def awrite(self, batch: Batch) -> int:
+        """As `write`, without blocking trio's event loop. A cancelled wait takes nothing back."""
+        token = trio.lowlevel.current_trio_token()
+        event = trio.Event()
+        results: list[int | StoreError] = []
+
+        def done(result: int | StoreError) -> None:
+            results.append(result)
+            try:
+                token.run_sync_soon(event.set)
+            except trio.RunFinishedError:
+                pass  # nobody waits any more
+
+        self.submit(batch, done)
+        await event.wait()
+        if isinstance(results[0], StoreError):
+            raise results[0]
+        return results[0]
+
+    def put(self, key: bytes, value: bytes, expires: int = 0) -> int:
+        return self.write(Batch().put(key, value, expires))
+
+    def put_if(self, key: bytes, value: bytes, version: int, expires: int = 0) -> int:
+        """Put only over this version (0: only if absent). Raises Conflict."""
+        return self.write(Batch().require(key, version).put(key, value, expires))
+
+    def delete(self, key: bytes) -> int:
+        return self.write(Batch().delete(key))
+
+    # ----------------------------------------------------------------------------------------------- reading
+
+    def get(self, key: bytes) -> bytes | None:
+        """A key's value, None if it has none or its time is over. Raises DamagedValue."""
+        found = self.engine.get(key, self.clock())
+        return None if found is None else found.value
+
+    def find(self, key: bytes) -> Found | None:
+        """A key's value with its version and expiry."""
+        return self.engine.get(key, self.clock())
+
+    def scan(self, *, prefix: bytes = b"", start: bytes = b"", stop: bytes | None = None,
+             reverse: bool = False) -> Iterator[tuple[bytes, bytes]]:
+        """Keys and values in order; see `Engine.scan`."""
+        for key, found in self.engine.scan(self.clock(), prefix=prefix, start=start, stop=stop,
+                                           reverse=reverse):
+            yield key, found.value
+
+    def snapshot(self) -> Snapshot:
+        return self.engine.snapshot(self.clock())
+
+    def stat(self) -> dict:
+        return {**self.engine.stat(self.clock()), "mode": self.mode, "waiting": len(self._waiting)}
+
+    # ------------------------------------------------------------------------------------------- maintenance
+
+    def compact(self, on_progress: Callable[[int], None] = lambda size: None) -> int:
+        """Compact now, as far as that gives anything, and unpaced. How many segments were merged."""
+        merged = 0
+        with self._maintaining:
+            self.engine.seal()
+            while numbers := self.engine.choose(self.clock(), everything=True):
+                for size in self.engine.compact(numbers, self.clock()):
+                    on_progress(size)
+                merged += len(numbers)
+                if len(numbers) == 1 or len(self.engine.sealed()) <= 1:
+                    break
+        return merged
+
+    def backup(self, target: str | Path | Files,
+               on_progress: Callable[[int], None] = lambda size: None) -> None:
+        """Copy the store as it is at this moment into an empty directory. Raises StoreError, OSError."""
+        files = RealFiles(target) if isinstance(target, (str, Path)) else target
+        for size in self.engine.backup(files):
+            on_progress(size)
+
+    def close(self) -> None:
+        """Write what waits, sync, and let the directory go."""
+        with self._changed:
+            self._closing = True
+            self._changed.notify_all()
+        self._stop.set()
+        self._look.set()
+        for thread in self._threads:
+            thread.join()
+        self.engine.close()
+
+    def __enter__(self) -> Store:
+        return self
+
+    def __exit__(self, *exc) -> None:
+        self.close()
+
+    # ------------------------------------------------------------------------------------------- the threads
+
+    def _commit_loop(self) -> None:
+        while True:
+            with self._changed:
+                while not self._waiting and not self._closing:
+                    due = self._sync_due()
+                    if due is not None and due <= 0:
+                        break
+                    self._changed.wait(due)
+                group = self._take_group()
+                if not group and self._closing:
+                    return
+            if group:
+                self._commit(group)
+            due = self._sync_due()
+            if due is not None and due <= 0:
+                try:
+                    self.engine.sync()
+                except StorePoisoned as error:
+                    log.error("store-poisoned %s", error)
+
+    def _sync_due(self) -> float | None:
+        dirty = self.engine.dirty and self.engine.poison is None
+        return policy.sync_due(self.mode, dirty, self._dirty_since, time.monotonic(), self._interval)
+
+    def _take_group(self) -> list[tuple[Batch, Done]]:
+        group, size = [], 0
+        while self._waiting and len(group) < MOST_GROUP:
+            batch = self._waiting[0][0]
+            if group and size + batch.size > MOST_GROUP_BYTES:
+                break
+            size += batch.size
+            group.append(self._waiting.popleft())
+        if len(self._waiting) + len(group) >= MOST_WAITING or size > MOST_GROUP_BYTES // 2:
+            self._changed.notify_all()
+        self._waiting_bytes -= size
+        return group
+
+    def _commit(self, group: Iterable[tuple[Batch, Done]]) -> None:
+        clean, poisoned = not self.engine.dirty, self.engine.poison is not None
+        segments = self.engine.sealed_count
+        try:
+            results = self.engine.commit([batch for batch, _ in group], self.clock(), self.mode == "always")
+        except Exception as error:  # a bug of ours: those who wait must hear of it
+            log.exception("store-fault")
+            results = [StoreError(f"internal fault: {error!r}")] * len(list(group))
+        if clean and self.engine.dirty:
+            self._dirty_since = time.monotonic()
+        if self.engine.poison is not None and not poisoned:
+            log.error("store-poisoned %s", self.engine.poison)
+        for (_, done), result in zip(group, results, strict=True):
+            done(result)
+        if self.engine.sealed_count != segments or self.engine.short:
+            self._look.set()
+
+    def _maintain_loop(self) -> None:
+        pause = 0.0
+        while not self._stop.is_set():
+            self._look.wait(LOOK_EVERY)
+            self._look.clear()
+            if self._stop.wait(pause):
+                return
+            pause = 0.0
+            try:
+                with self._maintaining:
+                    self._maintain()
+            except Exception as error:
+                if isinstance(error, OSError) and error.errno == errno.ENOSPC:
+                    log.warning("store-short: no room to compact")
+                else:
+                    log.exception("store-maintenance-fault")
+                pause = AFTER_TROUBLE
+
+    def _maintain(self) -> None:
+        engine = self.engine
+        if engine.short:
+            engine.restore_reserve()
+        pacer = policy.Pacer(self._rate, self._rate / 4.0, at=time.monotonic())
+
+        def paced(work: Iterator[int]) -> bool:
+            """Whether it came to its end."""
+            for size in work:
+                if self._stop.wait(pacer.spend(size, time.monotonic())):
+                    work.close()
+                    return False
+            return True
+
+        while (numbers := engine.choose(self.clock())) and not engine.short:
+            before = engine.compactions
+            if not paced(engine.compact(numbers, self.clock())):
+                return
+            if engine.compactions == before:
+                break
+            log.info("store-compacted segments=%d", len(numbers))
+        if engine.short and (numbers := engine.choose(self.clock())):
+            paced(engine.compact(numbers, self.clock()))
+        paced(engine.write_hints())
