Keep over a restart what operators said, the pool config and attempts that were out

After a crash a dispatcher took up work for profilers that operators had taken out, ended their drain, knew no list until discovery spoke, and ran a side-effect job again whose first attempt nobody had seen end. With state_dir (deploy/sidecar.json) keeping.py writes these to the store: an attempt of a keyed or side-effect job before its first byte, an operators' call before its answer, the list when it can. At a start they hold before the first job goes out. A repeat of a job that was out goes to the module as JobArrived.ran_ago/zone/cell, which fails it, or keeps it in its rack and window; remember.py is the pure part, and takes no age for too short when a clock was set back. A store that fails or is slow (250 ms) costs no answer: told once, counted (state_failed). An heir takes the store when its elder is gone. Without state_dir nothing is imported.

--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,336 @@
+"""What outlives a restart: stories on real sockets, the program killed amid jobs and operators' calls."""
+
+from __future__ import annotations
+
+import errno
+import random
+import re
+import signal
+import subprocess
+import sys
+from collections import Counter
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+import trio
+import ujson
+from helper import SETTINGS, Client, Discovery, Peer, done, story, world
+
+from yewrill import interface as api
+from yewrill.config import ConfigError, read_config
+from yewrill.decide import Dispatcher
+from yewrill.remember import LONG_AGO, Clocks, Sent, age, believed
+from yewrill.store import Store
+
+MGMT = {"mgmt": "127.0.0.1:0"}
+
+
+class Program:
+    """The real program as a process, its standard error read line by line."""
+
+    def __init__(self, process: trio.Process):
+        self.process, self.lines, self.changed = process, [], trio.Event()
+
+    async def read(self) -> None:
+        rest = b""
+        async for data in self.process.stderr:
+            *lines, rest = (rest + data).split(b"\n")
+            self.lines += [line.decode() for line in lines]
+            self.changed.set()
+            self.changed = trio.Event()
+
+    async def said(self, pattern: str) -> re.Match:
+        while True:
+            for line in self.lines:
+                if match := re.search(pattern, line):
+                    return match
+            await self.changed.wait()
+
+    async def ask(self, *args, door: bool = False, **kwargs):
+        address = await self.said(("door " if door else " ready .*") + r"listen=([\d.]+):(\d+)")
+        stream = await trio.open_tcp_stream(address[1], int(address[2]))
+        async with stream:
+            return await Client(stream).ask(*args, **kwargs)
+
+    async def call(self, call: str):
+        method, _, target = call.partition(" ")
+        return await self.ask(target, method, b"", door=True)
+
+
+@asynccontextmanager
+async def program(nursery: trio.Nursery, path):
+    command = [sys.executable, "-m", "yewrill", "serve", "--config", str(path)]
+    process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE)
+    running = Program(process)
+    nursery.start_soon(running.read)
+    try:
+        await running.said(" ready ")
+        yield running
+    finally:
+        process.kill()
+        with trio.CancelScope(shield=True):
+            await process.wait()
+
+
+class Rack:
+    """Destinations that count effects, and drop repeats of a key as a rack does."""
+
+    def __init__(self, rng: random.Random):
+        self.rng, self.calm = rng, False
+        self.effects: Counter = Counter()
+        self.seen: set[tuple[int, str]] = set()
+        self.met: list[tuple[str, str]] = []  # destination and key, in order
+        self.peers = [Peer(f"d{i}", self.script(i), cell=i // 2) for i in range(4)]
+
+    def script(self, i: int):
+        async def run(exchange):
+            key = exchange.headers.get("idempotency-key", "")
+            self.met.append((f"d{i}", key))
+            if not (exchange.target == "/save" and (i // 2, key) in self.seen):
+                self.effects[key] += 1
+                self.seen.add((i // 2, key))
+            if not self.calm and self.rng.random() < 0.4:
+                await exchange.closed()
+            else:
+                await exchange.done()
+        return run
+
+
+@pytest.mark.parametrize("seed", range(20))
+@story
+async def test_killed_amid_jobs_and_calls_it_keeps_every_promise(seed, tmp_path):
+    rng = random.Random(seed)
+    rack = Rack(rng)
+    async with trio.open_nursery() as nursery:
+        for peer in rack.peers:
+            await nursery.start(peer.serve)
+        discovery = Discovery(rack.peers)
+        config = tmp_path / "config.json"
+        config.write_text(ujson.dumps({
+            "listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS,
+            "state_dir": str(tmp_path / "state"), "state": {"patience_ms": 5000}, **MGMT}))
+        out: dict[str, bool | None] = {}  # None: the call was under way, either may hold
+        lame: list[bool | None] = [False]
+        keys: dict[str, str] = {}
+        answered = set()
+
+        async def job(number: int) -> None:
+            target = rng.choice(("/tour", "/save", "/once"))
+            key = f"key{number}"
+            keys[key] = target
+            with suppress(OSError, trio.BrokenResourceError, Exception):
+                await first.ask(target, X_Request_ID=f"r{number}", Idempotency_Key=key)
+                answered.add(key)
+
+        async def call() -> None:
+            what = rng.choice(("detach", "attach", "on", "off"))
+            with suppress(OSError, trio.BrokenResourceError, Exception):
+                if what in ("on", "off"):
+                    lame[0] = None
+                    assert (await first.call(f"PUT /_lameduck/{what}")).status == 200
+                    lame[0] = what == "on"
+                else:
+                    name = rng.choice(("d0", "d2"))
+                    out[name] = None
+                    assert (await first.call(f"PUT /_profilers/{what}?name={name}")).status == 200
+                    out[name] = what == "detach"
+
+        async with program(nursery, config) as first, trio.open_nursery() as busy:
+            while b"app.state_kept:0" in (await first.call("GET /_vars")).body:
+                await trio.sleep(0.005)  # the list comes to disk on its own
+            for number in range(rng.randrange(8, 25)):
+                if rng.random() < 0.3:
+                    await call()
+                else:
+                    busy.start_soon(job, number)
+                if rng.random() < 0.5:
+                    await trio.sleep(0.002)
+            busy.start_soon(call)
+            for _ in range(rng.randrange(3)):
+                await trio.lowlevel.checkpoint()
+            first.process.send_signal(signal.SIGKILL)
+        discovery.silent = rack.calm = True
+        met = len(rack.met)
+        async with program(nursery, config) as second:
+            up = await second.ask("/up", "GET", b"")
+            if lame[0] is not None:
+                assert (up.status == 503) == lame[0]
+            answers = {}
+
+            async def again(key: str, target: str) -> None:
+                answers[key] = await second.ask(target, X_Request_ID=f"again-{key}", Idempotency_Key=key)
+
+            async with trio.open_nursery() as repeats:
+                for key, target in keys.items():
+                    repeats.start_soon(again, key, target)
+            for destination, _ in rack.met[met:]:
+                assert out.get(destination) is not True, "work for a destination that was taken out"
+            assert (await second.ask(X_Request_ID="last")).status == 200
+        for key in keys.keys() - answered:  # a repeat of what was answered is a job of its own
+            if keys[key] == "/tour":
+                assert answers[key].status == 200
+            else:
+                assert rack.effects[key] <= 1, f"{keys[key]} had two effects"
+                assert answers[key].status in (200, 502)
+        nursery.cancel_scope.cancel()
+
+
+def state(tmp_path, **more) -> dict:
+    return {"state_dir": str(tmp_path / "state"), "state": {"patience_ms": 5000, **more}, **MGMT}
+
+
+@story
+async def test_no_byte_of_a_keyed_or_side_effect_attempt_goes_out_before_its_record_is_on_disk(tmp_path):
+    peer = Peer("d1", done)
+    async with world(peer, **state(tmp_path)) as w:
+        store, gate, waiting = w.service.keeper._store, trio.Event(), []
+        write = store.awrite
+
+        async def held(batch):
+            waiting.append(batch)
+            await gate.wait()
+            return await write(batch)
+
+        store.awrite = held
+        async with trio.open_nursery() as nursery:
+            for target in ("/save", "/once"):
+                nursery.start_soon(lambda t=target: w.ask(t, X_Request_ID=t[1:], Idempotency_Key="k" + t[1:]))
+            await w.until(lambda: len(waiting) >= 2)
+            assert (await w.ask(X_Request_ID="plain")).status == 200  # waits for no disk
+            assert [x.id for x in peer.exchanges] == ["plain"]
+            gate.set()
+        assert {x.id for x in peer.exchanges} == {"plain", "save", "once"}
+        await w.until(lambda: not list(store.scan(prefix=b"sent/")))  # and it goes when they are over
+
+
+@story
+async def test_a_store_that_fails_costs_no_answer_and_is_told_once(tmp_path, caplog):
+    async with world(Peer("d1", done), **state(tmp_path)) as w:
+        await w.until(lambda: b"app.state_kept:1|c" in w.service.figures.text({}).encode())  # the list
+        w.service.keeper._store.engine.poison = OSError(errno.EIO, "gone")
+        for i in range(3):
+            assert (await w.ask("/save", X_Request_ID=f"r{i}", Idempotency_Key=f"k{i}")).status == 200
+        detached = await w.call("PUT /_profilers/detach?name=d1")
+        assert (detached.status, detached.body) == (200, b"detached, but not on disk: a restart forgets it\n")
+        assert not w.service.pool.may_send("d1")
+        assert b"app.state_failed:4|c" in (await w.call("GET /_vars")).body
+    assert sum("state-failed" in record.getMessage() for record in caplog.records) == 1
+
+
+@story
+async def test_the_last_list_what_was_put_back_and_a_drain_serve_after_a_restart(tmp_path):
+    config = state(tmp_path)
+    peer = Peer("d1", done)
+    async with world(peer, Peer("d2", done), Peer("d3", done), **config) as w:
+        for call in ("detach?name=d1", "attach?name=d1", "detach?name=d2"):
+            assert (await w.call(f"PUT /_profilers/{call}")).status == 200
+        at = w.service.pool.back["d1"]
+        assert (await w.call("PUT /_lameduck/on")).status == 200
+        await w.until(lambda: w.service.keeper._store.get(b"list") is not None)
+        w.service.decisions.give_up()
+        await trio.to_thread.run_sync(w.service.keeper.close_store)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(peer.serve)
+        nobody = Discovery([])
+        nobody.silent = True
+        address = await nobody.serve(nursery)
+        kept = Store(tmp_path / "state")
+        listed = ujson.loads(kept.get(b"list"))
+        for server in listed["servers"]:
+            server["addr"] = f"127.0.0.1:{peer.port}"
+        kept.put(b"list", ujson.dumps(listed).encode())
+        kept.close()
+        from yewrill.service import Service
+
+        service = Service(read_config({"listen": "127.0.0.1:0", "discovery": address, "settings": SETTINGS,
+                                       **config}))
+        await nursery.start(lambda task_status: service.run(signals=False, task_status=task_status))
+        assert service.lame and service.pool.out == ["d2"] and service.pool.back == {"d1": at}
+        service.decisions.tick()
+        worker = service.decisions._module.workers["d1"]
+        assert worker.cold_from >= 0  # put back a moment ago, by a run that is dead
+        async with await trio.open_tcp_stream(*service.listener.address) as stream:
+            assert (await Client(stream).ask()).status == 200
+        nursery.cancel_scope.cancel()
+
+
+@story
+async def test_an_heir_takes_the_store_when_its_elder_is_gone(tmp_path, caplog):
+    from test_operators import shared_world, start_heir
+
+    caplog.set_level("INFO")
+    async with shared_world(Peer("d1", done), Peer("d2", done), **state(tmp_path)) as w:
+        await w.call("PUT /_profilers/detach?name=d1")
+        heir = await start_heir(w)
+        assert not heir.keeper.held and heir.pool.out == ["d1"]
+        assert (await w.ask("/save", X_Request_ID="r", Idempotency_Key="k")).status == 200
+        w.nursery.start_soon(w.elder.drain)
+        await w.ended.wait()
+        await w.until(lambda: any("state-taken-over" in r.getMessage() for r in caplog.records))
+        assert [key for key, _ in heir.keeper._store.scan(prefix=b"out/")] == [b"out/d1"]
+
+
+def test_a_second_program_on_one_directory_is_refused_and_without_one_nothing_is_imported(tmp_path):
+    config = tmp_path / "config.json"
+    config.write_text(ujson.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS,
+                                   "state_dir": str(tmp_path / "state")}))
+    command = [sys.executable, "-m", "yewrill", "serve", "--config", str(config)]
+    with Store(tmp_path / "state"):
+        ended = subprocess.run(command, capture_output=True, text=True)
+    assert ended.returncode == 1 and "can't-start: state_dir: " in ended.stderr and "held by" in ended.stderr
+    code = ("import sys, yewrill.cli, yewrill.service\n"
+            "print([m for m in sys.modules if 'store' in m or 'crc' in m or 'keeping' in m])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
+
+
+@pytest.mark.parametrize("more, key", [({"state": {}}, "state_dir"), ({"state_dir": 5}, "state_dir"),
+                                       ({"state_dir": "x", "state": {"mode": "soon"}}, "state.mode"),
+                                       ({"state_dir": "x", "state": {"odd": 1}}, "state.odd")])
+def test_faulty_state_keys_are_named(more, key):
+    with pytest.raises(ConfigError, match=f"^{key}: "):
+        read_config({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS, **more})
+
+
+# -- the module, told of an attempt of an earlier run
+
+
+def decided(effect: str, ago: float, cell: int = 0, now: float = 1e6, **more) -> list:
+    classes = [api.JobClass("tour", 2000.0, 9000.0, effect=effect, group="cell", window=7500.0)]
+    module = Dispatcher(api.Settings(classes, max_attempts=3, **more), 1)
+    workers = [api.WorkerEntry(f"w{i}", cell=i // 2) for i in range(4)]
+    module.handle(now, [api.WorkerList(api.LIST_FULL, workers)])
+    return [action for i in range(20)
+            for action in module.handle(now + i, [api.JobArrived(f"j{i}", 0, now + i + 5000.0, ran_ago=ago,
+                                                                 ran_zone=0, ran_cell=cell)])
+            if isinstance(action, (api.Send, api.Fail, api.Refuse))]
+
+
+def test_the_module_decides_on_a_repeat_by_what_an_earlier_run_sent():
+    assert {type(action) for action in decided(api.UNSAFE, 10.0)} == {api.Fail}
+    assert {type(action) for action in decided(api.KEYED, 7000.0)} == {api.Fail}  # nearly past its window
+    assert {type(action) for action in decided(api.KEYED, LONG_AGO, now=1e13)} == {api.Fail}
+    for cell, rack in ((0, {"w0", "w1"}), (1, {"w2", "w3"}), (9, set())):
+        actions = decided(api.KEYED, 3000.0, cell)
+        sent = {action.worker for action in actions if type(action) is api.Send}
+        assert sent <= rack and bool(sent) == bool(rack)
+        # Refusing would say that it never ran: nobody may say that of a job that may have.
+        assert api.Refuse not in map(type, actions)
+    assert {action.worker for action in decided(api.KEYED, -1.0) if type(action) is api.Send} & {"w0", "w1"}
+
+
+def test_how_long_ago_is_never_taken_for_too_short():
+    then = Clocks(1_000_000.0, 500.0, "a")
+    assert age(then, Clocks(0.0, 3500.0, "a")) == 3000.0  # one boot: whatever the wall clock says
+    assert age(then, Clocks(1_004_000.0, 10.0, "b")) == 4000.0
+    assert age(then, Clocks(999_000.0, 10.0, "b")) == age(then, Clocks(999_000.0, 600.0, "")) == LONG_AGO
+    now = Clocks(1_004_000.0, 4500.0, "a")
+
+    def sent(cell=0, steady=500.0, boot="a"):
+        return Sent("save", "acme", "k", "d1", 0, cell, Clocks(1_000_000.0, steady, boot))
+
+    assert Sent.decode(sent().encode()) == sent()
+    assert believed([sent()], now, 7500.0).ago == 4000.0
+    assert believed([sent(steady=2000.0), sent()], now, 7500.0).ago == 4000.0  # the first one counts
+    assert believed([sent(), sent(cell=1)], now, 7500.0).ago == LONG_AGO  # two racks: neither knows of both
+    assert believed([sent()], now, 3000.0) is None
+    assert believed([sent(boot="b")], Clocks(0.0, 0.0, "a"), 7500.0).ago == LONG_AGO
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -51,6 +51,19 @@
     sockets: int = 1024
 
 
+STATE_MODES = ("always", "interval", "never")
+
+
+@dataclass(frozen=True, slots=True)
+class StateConfig:
+    """Where, and how surely, the dispatcher keeps what must outlast it."""
+
+    path: str
+    mode: str = "always"
+    unsafe_window_ms: float = 3_600_000.0  # for which attempts of side-effect jobs are remembered
+    patience_ms: float = 250.0  # for which an attempt or an operators' call waits for the disk
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     listen: tuple[str, int]
@@ -65,6 +78,7 @@
     inherited_fd: int | None = None  # listen on this descriptor; two runs may then serve beside each other
     link_dir: str | None = None  # where they find each other
     mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
+    state: StateConfig | None = None  # without it nothing is kept
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
     linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
@@ -77,7 +91,7 @@
 _KEY_OF = {
     "places": "settings.areas or settings.kinds", "connect_timeout_ms": "settings.limits.connect_timeout",
     "idle_close_ms": "settings.limits.idle_close", "answer_margin_ms": "timing.answer_margin_ms",
-    "linger_ms": "timing.linger_ms", "grace_ms": "timing.grace_ms",
+    "state": "state_dir or state", "linger_ms": "timing.linger_ms", "grace_ms": "timing.grace_ms",
 }
 
 
@@ -256,7 +270,7 @@
         if key not in raw and (environment or {}).get(variable):
             raw[key] = environment[variable]
     known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing",
-                  "mgmt"}
+                  "mgmt", "state_dir", "state"}
     for key in ("listen", "discovery", "settings"):
         if key not in raw:
             raise ConfigError(f"{key}: missing")
@@ -314,6 +328,7 @@
         stated=stated,
         inherited_fd=inherited,
         link_dir=(environment or {}).get(ENV_TEMPORARY) or None,
+        state=_read_state(raw),
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
         answer_margin_ms=margin,
         linger_ms=linger,
@@ -323,6 +338,25 @@
     )
 
 
+def _read_state(raw: Mapping[str, Any]) -> StateConfig | None:
+    state = _object(raw.get("state", {}), "state")
+    for key in state:
+        if key not in ("mode", "unsafe_window_ms", "patience_ms"):
+            raise ConfigError(f"state.{key}: no such key")
+    if raw.get("state_dir") is None:
+        if "state" in raw:
+            raise ConfigError("state_dir: missing, and state has no use without it")
+        return None
+    default = StateConfig("")
+    return StateConfig(
+        _text(raw["state_dir"], "state_dir"),
+        _one_of(state.get("mode", default.mode), "state.mode", STATE_MODES),
+        _number(state.get("unsafe_window_ms", default.unsafe_window_ms), "state.unsafe_window_ms",
+                0.0, 30 * 86_400_000.0),
+        _number(state.get("patience_ms", default.patience_ms), "state.patience_ms", 1.0, 60_000.0),
+    )
+
+
 _OF_A_START = ("known", "seed")
 
 
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -88,8 +88,9 @@
         self.done = False
         self.hedged = False
         self.hinted = event.hint > 0
-        self.ran_at = -1.0  # send time of the first attempt that may have run, -1: none may have
-        self.ran_zone = self.ran_cell = -1
+        # Send time of the first attempt that may have run, -1: none may have. One before a restart counts.
+        self.ran_at = max(0.0, now - event.ran_ago) if event.ran_ago >= 0 else -1.0
+        self.ran_zone, self.ran_cell = event.ran_zone, event.ran_cell
         self.last: Worker | None = None  # the worker that failed it last
         self.seq = 0
 
@@ -499,6 +500,10 @@
         self.jobs[job.id] = job
         self.count += 1
         heappush(self.ends, (job.deadline - 2.0 * self.settings.tick, self.count, job))
+        if self._spent(job):
+            self._finish(job)
+            self.out.append(api.Fail(job.id))
+            return
         tenant = self.tenants[event.tenant] if event.tenant < len(self.tenants) else self.tenants[0]
         if now >= job.due and not cls.late_pays:
             # A client's retry that can't be in time any more takes nothing from its tenant's share or gap: a
@@ -513,7 +518,7 @@
         self._control()
         rung = 0 if job.over else cls.rung
         if rung < self.controller.gapped and not (not job.over and tenant.gaps[cls].passes(now)):
-            self._refuse(job)
+            self._give_up(job)
             return
         if now >= job.due:
             self._overdue(job)
@@ -1154,20 +1159,21 @@
 
     def _again(self, job: Job) -> None:
         """An attempt came to nothing: try again where the class allows, else answer."""
-        spec = job.spec
         now = self.now
-        if job.ran_at >= 0 and spec.effect == api.UNSAFE:
-            self._finish(job)
-            self.out.append(api.Fail(job.id))
-        elif job.tries >= min(job.most, self.settings.max_attempts) or job.deadline - now < job.run * 0.5:
-            self._give_up(job)
-        elif job.ran_at >= 0 and spec.effect == api.KEYED and now - job.ran_at > spec.window * 0.9:
+        out_of_tries = job.tries >= min(job.most, self.settings.max_attempts)
+        if self._spent(job) or out_of_tries or job.deadline - now < job.run * 0.5:
             self._give_up(job)
         elif now >= job.due:
             self._overdue(job)
         else:
             self._hold(job)
 
+    def _spent(self, job: Job) -> bool:
+        """Whether it may have run, and may not run again."""
+        spec = job.spec
+        return job.ran_at >= 0 and (spec.effect == api.UNSAFE or (
+            spec.effect == api.KEYED and self.now - job.ran_at > spec.window * 0.9))
+
     def _give_up(self, job: Job) -> None:
         """The final answer for a job without attempts out: a refusal where the rules allow one."""
         spec = job.spec
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -44,6 +44,10 @@
     retry: bool = False
     payload: Any = None
     client_left: bool = False
+    # An attempt before a restart that may have run: how long ago it was sent, and where. -1: there is none.
+    ran_ago: float = -1.0
+    ran_zone: int = -1
+    ran_cell: int = -1
     on_progress: Callable[[RouteStep, float], None] | None = None
     # The facade's own.
     key: str = ""
@@ -149,7 +153,8 @@
             operation.key = str(self._count)
             self._operations[operation.key] = operation
             self._put(api.JobArrived(operation.key, operation.job_class, operation.deadline, operation.tenant,
-                                     operation.width, operation.memory, operation.hint, operation.retry))
+                                     operation.width, operation.memory, operation.hint, operation.retry,
+                                     operation.ran_ago, operation.ran_zone, operation.ran_cell))
 
     def retune(self, settings: api.Settings) -> None:
         """Other settings, for every operation taken from now on."""
--- a/yewrill/figures.py
+++ b/yewrill/figures.py
@@ -14,6 +14,14 @@
     def __init__(self) -> None:
         self._counts = dict.fromkeys(("dispatches", "reload_success", "reload_failure"), 0)
 
+    def know_state(self) -> None:
+        """There is a store: what was kept there, and what could not be, has its lines."""
+        self._counts.update(state_kept=0, state_failed=0)
+
+    def kept(self, kept: bool) -> None:
+        """Something was to be kept over a restart."""
+        self._counts["state_kept" if kept else "state_failed"] += 1
+
     def know(self, classes: Iterable[str]) -> None:
         """These classes have their lines from now on; those of a dropped class stay."""
         for name in classes:
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -145,6 +145,10 @@
     memory: float = 0.0
     hint: float = 0.0  # expected work, 0 where not told
     retry: bool = False  # marked as a client's retry
+    # An attempt before a restart that may have run: how long ago it was sent (-1: there is none), and where.
+    ran_ago: float = -1.0
+    ran_zone: int = -1
+    ran_cell: int = -1
 
 
 @dataclass(slots=True)
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -86,6 +86,8 @@
         self._distrust: dict[str, tuple[float, float]] = {}  # until when, and for how long that was
         pool.on_change = self._changed
         self.on_written: Callable[[], None] = lambda: None  # an attempt's last byte is written
+        # Where something must be on disk before an attempt's first byte: waited for then.
+        self.promise: Callable[[RouteStep], Awaitable[None]] | None = None
 
     def retune(self, connect_timeout: float, idle_limit: float) -> None:
         """In seconds: how long a connection may take to come up, and how long it may stand idle there."""
@@ -118,6 +120,8 @@
         destination = self._pool.get(step.destination)
         if destination is None:
             return Ending.NOT_SENT, None
+        if self.promise is not None:
+            await self.promise(step)
         line = self._take(destination)
         if line is None:
             if not self._make_room():
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -40,6 +40,7 @@
         self._back: dict[str, float] = {}  # put back lately, and when by the wall clock, in ms
         self.version = 0
         self.on_change: Callable[[Destination | None, str], None] = lambda destination, name: None
+        self.on_applied: Callable[[], None] = lambda: None  # the list is another one
 
     def __len__(self) -> int:
         return len(self._known)
@@ -125,6 +126,8 @@
             now = self._known.get(name)
             if now != before.get(name):
                 self.on_change(now, name)
+        if self._known != before:
+            self.on_applied()
         if full or destinations:
             self._decisions.pool_config(map(self._laid_over, destinations), full=full, cached=cached)
 
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -9,13 +9,14 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
 from yewrill.config import Config, ConfigError, check_succession, differing
 from yewrill.core import Answer, Served, carry
-from yewrill.facade import BusyReply, Decisions, Operation
+from yewrill.ending import Ending
+from yewrill.facade import BusyReply, Decisions, Operation, RouteStep
 from yewrill.figures import ERROR, OVERLOAD, SUCCESS, Figures
 from yewrill.fronts.platform import PlatformFront, Reader
 from yewrill.fronts.progress import ProgressFront
@@ -26,6 +27,9 @@
 from yewrill.net.listener import Client, Listener
 from yewrill.net.poolconfig import PoolConfig, Watch
 
+if TYPE_CHECKING:
+    from yewrill.keeping import Keeper
+
 log = logging.getLogger("yewrill")
 
 FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
@@ -44,6 +48,7 @@
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
 LEAST_SOCKETS = SPARE + 24  # what each of two runs has at least
+NOT_KEPT = b", but not on disk: a restart forgets it\n"
 
 
 class Service:
@@ -72,6 +77,13 @@
         self.destinations.on_written = self.figures.dispatched
         self.listener = Listener(config.listen, self._handle, clients, inherited=config.inherited_fd)
         self.door = Door(config.mgmt, self._calls()) if config.mgmt is not None else None
+        self.keeper: Keeper | None = None  # what is kept over a restart
+        if config.state is not None:
+            from yewrill.keeping import Keeper
+
+            self.keeper = Keeper(config.state, self.pool, self.figures)
+            self.figures.know_state()
+            self.destinations.promise = self.keeper.promise
         self.handover: HandOver | None = None
         if config.inherited_fd is not None and config.link_dir is not None:
             self.handover = HandOver(link_path(config.link_dir, config.name, config.listen),
@@ -82,9 +94,12 @@
         """Serve until SIGTERM (or `drain`), then finish what was taken and return."""
         if self.config.known is not None:
             self.pool.apply(dict(self.config.known), cached=True)
+        kept = await self._open_state()
         self.decisions.tick()
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            if self.keeper is not None:
+                await self._begin_keeping(kept)
             nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
             nursery.start_soon(_keep, self.destinations.keep_tidy)
             if self.door is not None:
@@ -108,6 +123,8 @@
             log.info("drained")
             nursery.cancel_scope.cancel()
         self.destinations.close()
+        if self.keeper is not None:
+            await trio.to_thread.run_sync(self.keeper.close_store)
         if self.handover is not None:
             self.handover.close()
         if self.door is not None:
@@ -199,14 +216,7 @@
         if "state" in message:
             state = message["state"]
             self._bound(max(LEAST_SOCKETS, int(state["sockets"])))
-            self._set_lame(bool(state["lame"]))
-            for name in state["out"]:
-                self.pool.take_out(name, listed=False)
-            if not self.watch.heard.is_set():
-                self.pool.apply(state["list"], cached=True)
-            for name, at in state["back"].items():
-                self.pool.take_out(name, listed=False)
-                self.pool.put_back(name, at)
+            self._take_known(state)
         elif "lame" in message:
             self._set_lame(bool(message["lame"]))
         elif "out" in message:
@@ -214,6 +224,57 @@
         elif "back" in message:
             self.pool.put_back(message["back"], message["at"])
 
+    def _take_known(self, state: dict[str, Any]) -> None:
+        """What another run knew: the operators' word, and a list."""
+        self._set_lame(bool(state["lame"]))
+        for name in state["out"]:
+            self.pool.take_out(name, listed=False)
+        if state["list"] and not self.watch.heard.is_set():
+            self.pool.apply(state["list"], cached=True)
+        for name, at in state["back"].items():
+            self.pool.take_out(name, listed=False)
+            self.pool.put_back(name, at)
+
+    # -- what outlasts this run
+
+    async def _open_state(self) -> dict[str, Any] | None:
+        """What the last run has left, before anything goes out. None if another run still has the store."""
+        if self.keeper is None:
+            return None
+        from yewrill.store import StoreHeld
+
+        try:
+            await trio.to_thread.run_sync(self.keeper.open_store)
+        except StoreHeld as error:
+            if self.handover is None:
+                raise OSError(f"state_dir: {error}") from None
+            log.info("state-waits %s", error)
+            return None
+        return await trio.to_thread.run_sync(self.keeper.restore)
+
+    async def _begin_keeping(self, kept: dict[str, Any] | None) -> None:
+        if kept is None:
+            self.nursery.start_soon(_keep, self._take_over_state)
+        else:
+            try:
+                if kept["list"]:
+                    self.pool.apply(kept["list"], cached=True)
+            except ConfigError as error:  # of another version's form, say
+                log.error("state-unreadable list: %s", error)
+            self._take_known({**kept, "list": None})
+        self.pool.on_applied = self.keeper.list_changed
+        if len(self.pool) and not (kept and kept["list"]):
+            self.keeper.list_changed()  # the configuration's own
+        self.nursery.start_soon(_keep, self.keeper.run)
+
+    async def _take_over_state(self) -> None:
+        """The elder has the store, and has told all that operators said; of attempts it has not."""
+        await self.keeper.wait_for_store()
+        await trio.to_thread.run_sync(self.keeper.recall_sent)
+        await self.keeper.write_all(self.pool.out, self.pool.back, self.lame)
+        log.info("state-taken-over")
+        await trio.sleep_forever()
+
     def _bound(self, sockets: int | None = None) -> None:
         """Keep to a part of the descriptors, or to all of them when no other run is left."""
         clients, destinations = _parts(self.config.limits.sockets if sockets is None else sockets)
@@ -244,26 +305,30 @@
         if not self.pool.take_out(name):
             return Reply(404, b"no such profiler\n")
         log.info("detached destination=%s", name)
+        kept = self.keeper is None or await self.keeper.taken_out(name)
         await self._agree({"out": name})
-        return Reply(200, b"detached\n")
+        return Reply(200, b"detached\n" if kept else b"detached" + NOT_KEPT)
 
     async def _attach(self, name: str) -> Reply:
         at = time.time() * 1000.0
         if not self.pool.put_back(name, at):
             return Reply(404, b"no such profiler\n")
         log.info("attached destination=%s", name)
+        kept = self.keeper is None or await self.keeper.put_back(name, at)
         await self._agree({"back": name, "at": at})
-        return Reply(200, b"attached\n")
+        return Reply(200, b"attached\n" if kept else b"attached" + NOT_KEPT)
 
     async def _lameduck_on(self) -> Reply:
         self._set_lame(True)
+        kept = self.keeper is None or await self.keeper.lame(True)
         await self._agree({"lame": True})
-        return Reply(200, b"draining\n")
+        return Reply(200, b"draining\n" if kept else b"draining" + NOT_KEPT)
 
     async def _lameduck_off(self) -> Reply:
         self._set_lame(False)
+        kept = self.keeper is None or await self.keeper.lame(False)
         await self._agree({"lame": False})
-        return Reply(200, b"serving\n")
+        return Reply(200, b"serving\n" if kept else b"serving" + NOT_KEPT)
 
     def _set_lame(self, on: bool) -> None:
         if on != self.lame:
@@ -318,6 +383,8 @@
                 await client.send(client.http.whole(turned_back, close=True))
                 return False
             self._take_id(operation.id)
+            if self.keeper is not None:
+                self._recall(operation)
             self.decisions.take(operation)
             job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
@@ -332,17 +399,30 @@
                 if not operation.closed:  # whatever befell this exchange, the module is not left with it
                     self.decisions.left(operation)
                 self._free_id(operation.id)
+                if self.keeper is not None:
+                    self.keeper.closed(operation)
         close = self._closing(client)
         return await client.send(client.http.whole(reply, close)) and not close
 
     async def _carry(self, operation: Operation, job_class: str) -> Answer | None:
         """Carry an operation, and count its final answer."""
-        answer = await carry(operation, self.decisions, self.destinations.attempt)
+        attempt = self.destinations.attempt if self.keeper is None else self._kept_attempt
+        answer = await carry(operation, self.decisions, attempt)
         if answer is not None:
             self.figures.answered(job_class, SUCCESS if isinstance(answer, Served) else
                                   OVERLOAD if isinstance(answer, BusyReply) else ERROR)
         return answer
 
+    def _recall(self, operation: Operation) -> None:
+        settings = self.config.settings
+        tenant = settings.tenants[operation.tenant].name if settings.tenants else ""
+        self.keeper.take(operation, settings.classes[operation.job_class], tenant)
+
+    async def _kept_attempt(self, step: RouteStep) -> tuple[Ending, Any]:
+        ending, result = await self.destinations.attempt(step)
+        self.keeper.ended(step, ending)
+        return ending, result
+
     def _closing(self, client: Client) -> bool:
         """Whether a connection closes after the answer that goes out now."""
         return self.leaving or self._lame_closing or client.ahead
