--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,8 +10,11 @@
 
 import pytest
 import trio
+import ujson
+from click.testing import CliRunner
 from store_world import RULES
 
+from yewrill.cli import main
 from yewrill.store import Batch, Conflict, Store, StoreBusy, StoreClosed, StoreError, StorePoisoned, policy
 from yewrill.store import store as store_module
 from yewrill.store.policy import Pacer, Rules, SegmentFacts, choose, everything, may_drop_deletion, sync_due
@@ -169,3 +172,61 @@
     assert sync_due("interval", True, 5.0, 5.4, 1.0) == pytest.approx(0.6)
     assert sync_due("interval", False, 5.0, 5.4, 1.0) is None
     assert policy.Rules().tier(1) == 0 < policy.Rules().tier(10**6) < policy.Rules().tier(10**9)
+
+
+# -- the command line
+
+
+def run(*args, **more):
+    return CliRunner().invoke(main, ["store", *map(str, args)], **more)
+
+
+def test_the_command_line_looks_checks_copies_and_moves(tmp_path):
+    path = tmp_path / "s"
+    with Store(path, reserve=0) as store:
+        for i in range(50):
+            store.put(b"k%02d" % i, b"value %d" % i, 2**50 if i == 7 else 0)
+        store.put(b"\xff\x00", b"\x01")
+        store.delete(b"k00")
+    figures = ujson.loads(run("stat", path, "--json").stdout)
+    assert figures["keys"] == 50 and figures["findings"] == [] and "keys" in run("stat", path).stdout
+    assert run("get", path, "k07").stdout == "value 7" and run("get", path, "ff00", "--hex").stdout == "\x01"
+    assert ujson.loads(run("get", path, "k07", "--json").stdout)["expires"] == 2**50
+    assert run("get", path, "nothing").exit_code == 1
+    assert run("scan", path, "--prefix", "k0", "--limit", "2").stdout == "k01\tvalue 1\nk02\tvalue 2\n"
+    assert run("scan", path, "--keys").stdout.splitlines()[-1] == "0xff00"
+    assert run("verify", path).exit_code == 0
+    assert run("compact", path).exit_code == 0
+    assert run("backup", path, tmp_path / "b").exit_code == 0
+    assert run("backup", path, tmp_path / "b").exit_code == 2  # not empty
+    assert run("restore", tmp_path / "b", tmp_path / "r").exit_code == 0
+    dumped = run("dump", tmp_path / "r").stdout
+    assert run("load", tmp_path / "l", input=dumped).stdout == "50 records loaded\n"
+    assert run("dump", tmp_path / "l").stdout == dumped and len(dumped.splitlines()) == 50
+    bad = run("load", tmp_path / "m", input=dumped[:100] + "\n")
+    assert bad.exit_code == 2 and "line 3: no record" in bad.stderr and bad.stderr.count("\n") == 1
+    with Store(path, reserve=0):
+        refused = run("scan", path)
+        assert refused.exit_code == 2 and "held by process" in refused.stderr
+        assert run("stat", path).exit_code == 0
+
+
+def test_verify_names_what_is_damaged_in_each_kind_of_file_and_changes_nothing(tmp_path):
+    with Store(tmp_path, reserve=0) as store:
+        for i in range(20):
+            store.put(b"k%02d" % i, b"value %d" % i)
+    for pattern, what in (("*.seg", "damage"), ("*.hint", "hint"), ("MANIFEST", "manifest")):
+        file, = tmp_path.glob(pattern)
+        sound = file.read_bytes()
+        flipped = bytearray(sound)
+        flipped[len(flipped) // 2] ^= 4
+        file.write_bytes(flipped)
+        before = sorted((p.name, p.read_bytes()) for p in tmp_path.iterdir())
+        told = run("verify", tmp_path, "--json")
+        finding, = ujson.loads(told.stdout)["findings"]
+        assert told.exit_code == 1 and (finding["what"], finding["file"]) == (what, file.name)
+        if what == "damage":
+            assert finding["start"] <= len(flipped) // 2 < finding["end"]
+        run("stat", tmp_path)
+        assert before == sorted((p.name, p.read_bytes()) for p in tmp_path.iterdir())
+        file.write_bytes(sound)
--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -1,7 +1,8 @@
-"""The command line: serve, version, config write, config check."""
+"""The command line: serve, version, config write, config check, store."""
 
 from __future__ import annotations
 
+import importlib
 import os
 import sys
 from pathlib import Path
@@ -158,5 +159,29 @@
         click.echo(f"{path}: {len(bad)} of {rows} rows left out", err=True)
 
 
+class _Later(click.Group):
+    """A group whose commands are imported when one of them is asked for."""
+
+    def __init__(self, module: str, name: str, extra: str, **kwargs):
+        super().__init__(name=name, **kwargs)
+        self._module, self._extra = module, extra
+
+    def _load(self) -> click.Group:
+        try:
+            return getattr(importlib.import_module(self._module), self.name)
+        except ModuleNotFoundError as error:
+            _fail(ConfigError(f"{error.name} is not installed: pip install 'yewrill[{self._extra}]'"))
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        return self._load().list_commands(context)
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        return self._load().get_command(context, name)
+
+
+main.add_command(_Later("yewrill.store.commands", "store", "store",
+                        help="Look into, check and move an embedded store (a dispatcher's `state_dir`)."))
+
+
 if __name__ == "__main__":
     main()
--- a/yewrill/store/engine.py
+++ b/yewrill/store/engine.py
@@ -18,6 +18,7 @@
 import threading
 from collections.abc import Callable, Generator, Iterator, Sequence
 from contextlib import suppress
+from itertools import islice
 from typing import NamedTuple
 
 from sortedcontainers import SortedDict
@@ -45,7 +46,7 @@
     quarantine,
     read_frames,
 )
-from yewrill.store.segment import ENTRY, Segment
+from yewrill.store.segment import ENTRY, SLOT, Segment
 
 SCAN_CHUNK = 512  # keys looked up under the lock at a time
 OUTPUT_FRAME = 128 * 1024  # bytes gathered into a frame by compaction
@@ -62,6 +63,12 @@
     expires: int
 
 
+Row = tuple[bytes, bytes, int, int]  # key, value, version, expiry
+
+
+_Numbered = tuple[int, list[fmt.Op]]  # a batch's operations, and the number of the first one
+
+
 class _Old(NamedTuple):
     """An entry that a snapshot may still want: in force from its own number until this one."""
 
@@ -127,7 +134,7 @@
         if (refused := self._refused()) is not None:
             return [refused] * len(batches)
         results: list[int | StoreError] = []
-        frames: list[list[fmt.Op]] = []
+        frames: list[_Numbered] = []
         pending: dict[bytes, int] = {}  # versions as they will be, 0: gone
         seq = self._next_seq
         for batch in batches:
@@ -137,12 +144,10 @@
             results.append(seq if batch.ops else seq - 1)
             if not batch.ops:
                 continue
-            ops = []
-            for op in batch.ops:
-                ops.append(fmt.Op(op.kind, op.key, op.value, seq, op.expires))
-                pending[op.key] = seq if op.kind == fmt.PUT and not _over(op.expires, now) else 0
-                seq += 1
-            frames.append(ops)
+            for at, op in enumerate(batch.ops, seq):
+                pending[op.key] = at if op.kind == fmt.PUT and not _over(op.expires, now) else 0
+            frames.append((seq, batch.ops))
+            seq += len(batch.ops)
         if not frames:
             return results
         try:
@@ -174,14 +179,14 @@
                 return Conflict(key, expected, found)
         return None
 
-    def _append(self, frames: list[list[fmt.Op]], now: int, sync: bool) -> None:
+    def _append(self, frames: list[_Numbered], now: int, sync: bool) -> None:
         try:
             segment = self._writable()
         except OSError as error:
             raise self._trouble(error) from None
-        encoded = [fmt.encode_frame(ops, segment.name.salt, now) for ops in frames]
+        encoded = [fmt.encode_frame(ops, segment.salt, now, first) for first, ops in frames]
         data = b"".join(encoded)
-        deletions = all(op.kind == fmt.DELETE for ops in frames for op in ops)
+        deletions = all(op.kind == fmt.DELETE for _, ops in frames for op in ops)
         try:
             try:
                 write_all(segment.handle, data, segment.size)
@@ -197,14 +202,14 @@
             self._sync(segment)
         with self._lock:
             at = segment.size
-            for frame, ops in zip(encoded, frames, strict=True):
+            for frame, (first, ops) in zip(encoded, frames, strict=True):
                 base = at + fmt.FRAME_HEAD
-                for op in ops:
-                    self._enter(segment, op, base)
+                for seq, op in enumerate(ops, first):
+                    self._enter(segment, op, seq, base)
                     base += fmt.op_size(op.key, len(op.value))
                 at += len(frame)
             segment.size = at
-            self._next_seq = frames[-1][-1].seq + 1
+            self._next_seq = frames[-1][0] + len(frames[-1][1])
         self.written += len(data)
         self.dirty = not sync
         if segment.size >= self.segment_size:
@@ -292,12 +297,13 @@
             self.poison = error  # which names are on disk is anybody's guess: as with any sync
             raise
 
-    def _enter(self, segment: Segment, op: fmt.Op, offset: int) -> None:
+    def _enter(self, segment: Segment, op: fmt.Op, seq: int, offset: int) -> None:
         size = fmt.op_size(op.key, len(op.value))
-        segment.lowest = min(segment.lowest, op.seq)
-        self._forget(op.key, op.seq)
+        if seq < segment.lowest:
+            segment.lowest = seq
+        self._forget(op.key, seq)
         if op.kind == fmt.PUT:
-            self._index[op.key] = ENTRY.pack(segment.slot, offset, len(op.value), op.seq, op.expires)
+            self._index[op.key] = ENTRY.pack(segment.slot, offset, len(op.value), seq, op.expires)
             segment.live += size
             if op.expires:
                 segment.note_expiry(op.expires, size)
@@ -355,18 +361,20 @@
              reverse: bool = False) -> Iterator[tuple[bytes, Found]]:
         """Keys from `start` up to, and without, `stop` that have this prefix, in order, with what they have.
         Without a snapshot, each part is as it is when the iteration gets there."""
+        for key, value, seq, expires in self.rows(now, prefix, start, stop, reverse):
+            yield key, Found(value, seq, expires)
+
+    def rows(self, now: int, prefix: bytes, start: bytes, stop: bytes | None, reverse: bool) -> Iterator[Row]:
+        """As `scan`, with plain tuples."""
         low, high = _bounds(prefix, start, stop)
+        index, segments = self._index, self._segments
         while True:
             with self._lock:
                 chunk = []
-                for key in self._index.irange(low, high, (True, False), reverse):
-                    chunk.append((key, self._index[key]))
-                    if len(chunk) == SCAN_CHUNK:
-                        break
-                segments = {ENTRY.unpack(entry)[0] for _, entry in chunk}
-                held = {slot: self._segments[slot] for slot in segments}
-            entries = [(key, held[ENTRY.unpack(entry)[0]], entry) for key, entry in chunk]
-            yield from self._read_chunk(entries, now)
+                for key in islice(index.irange(low, high, (True, False), reverse), SCAN_CHUNK):
+                    entry = index[key]
+                    chunk.append((key, segments[SLOT.unpack_from(entry)[0]], entry))
+            yield from self._read_chunk(chunk, now)
             if len(chunk) < SCAN_CHUNK:
                 return
             if reverse:
@@ -375,9 +383,9 @@
                 low = chunk[-1][0] + b"\0"
 
     def _read_chunk(self, entries: list[tuple[bytes, Segment, bytes]], now: int) \
-            -> Iterator[tuple[bytes, Found]]:
+            -> Iterator[Row]:
         """Read values, ahead while they lie one behind the other."""
-        unpack, head = ENTRY.unpack, fmt.OP_HEAD
+        unpack, head, extend, crc_of = ENTRY.unpack, fmt.OP_HEAD, fmt.extend, fmt.op_crc
         window, base, owner, after = b"", 0, None, -1
         for key, segment, entry in entries:
             _, offset, size, seq, expires = unpack(entry)
@@ -390,10 +398,11 @@
                 window = segment.handle.read(max(whole, READ_AHEAD if near else whole), offset)
                 base, owner, at = offset, segment, 0
             after = offset + whole
-            value = fmt.read_value(window[at:at + whole], key, segment.name.salt)
-            if value is None:
+            content = window[at + head:at + whole]  # the key, and the value
+            if len(content) != whole - head or crc_of(window, at) != extend(segment.salt, content) \
+                    or not content.startswith(key):
                 self._read(segment, key, offset, size)  # told, and raised, there
-            yield key, Found(value, seq, expires)
+            yield key, content[len(key):], seq, expires
 
     def snapshot(self, now: int) -> Snapshot:
         """The store as it is at this moment, for as long as the snapshot is open."""
@@ -790,7 +799,8 @@
                         break
                     if (at := engine._entry_at(key, self.seq)) is not None:
                         chunk.append((key, *at))
-            yield from engine._read_chunk(chunk, self.now)
+            for key, value, seq, expires in engine._read_chunk(chunk, self.now):
+                yield key, Found(value, seq, expires)
             if end is None:
                 return
             if reverse:
--- a/yewrill/store/files.py
+++ b/yewrill/store/files.py
@@ -195,5 +195,7 @@
 
     def unlock(self) -> None:
         if self._lock >= 0:
+            with suppress(OSError):
+                os.ftruncate(self._lock, 0)  # nobody has it: no name either
             os.close(self._lock)
             self._lock = -1
--- a/yewrill/store/format.py
+++ b/yewrill/store/format.py
@@ -172,12 +172,13 @@
     return struct.unpack_from(f"<{count}Q", data, _SEGMENT.size), end + _CRC.size
 
 
-def encode_frame(ops: list[Op], salt: int, time: int) -> bytes:
-    """One batch; its operations have their sequence numbers."""
+def encode_frame(ops: list[Op], salt: int, time: int, first: int | None = None) -> bytes:
+    """One batch. Its operations are numbered from `first` on; without it they have their numbers."""
     parts = []
-    for op in ops:
+    for at, op in enumerate(ops, first or 0):
         content = op.key + op.value
-        parts.append(_OP.pack(op.kind, 0, len(op.key), len(op.value), op.seq, op.expires,
+        seq = op.seq if first is None else at
+        parts.append(_OP.pack(op.kind, 0, len(op.key), len(op.value), seq, op.expires,
                               extend(salt, content)))
         parts.append(content)
     body = b"".join(parts)
@@ -232,6 +233,11 @@
     return data[OP_HEAD + key_size:]
 
 
+def op_crc(data: bytes, at: int) -> int:
+    """The checksum that an operation's head names, for its key and value."""
+    return _CRC.unpack_from(data, at + OP_HEAD - _CRC.size)[0]
+
+
 # ----------------------------------------------------------------------------------------------------- hints
 
 
--- a/yewrill/store/segment.py
+++ b/yewrill/store/segment.py
@@ -11,6 +11,7 @@
 # Slot of the segment, offset of the operation in it, size of the value, sequence number, expiry. Packed,
 # since a tuple of five numbers takes four times the memory.
 ENTRY = struct.Struct("<IIIQq")
+SLOT = struct.Struct("<I")  # its beginning
 TOMB = 0xFFFFFFFF  # as a value's size: a deletion, while a directory is read
 BUCKET = 60_000  # milliseconds of expiries that are counted together
 
@@ -18,11 +19,12 @@
 class Segment:
     """One file of frames. Only the newest is written to; a segment's file closes with its last reader."""
 
-    __slots__ = ("name", "handle", "slot", "size", "start", "live", "deletions", "lowest", "damaged",
+    __slots__ = ("name", "salt", "handle", "slot", "size", "start", "live", "deletions", "lowest", "damaged",
                  "hinted", "output", "expiring")
 
     def __init__(self, name: SegmentName, handle: Handle, slot: int):
         self.name = name
+        self.salt = name.salt
         self.handle = handle
         self.slot = slot
         self.size = 0
--- a/yewrill/store/store.py
+++ b/yewrill/store/store.py
@@ -15,8 +15,8 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import Future
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import trio
@@ -45,6 +45,46 @@
     return int(time.time() * 1000.0)
 
 
+class _Waiter:
+    """One thread that waits for its batch; lighter than a future."""
+
+    __slots__ = ("_lock", "_result")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._lock.acquire()
+        self._result: int | StoreError = 0
+
+    def done(self, result: int | StoreError) -> None:
+        self._result = result
+        self._lock.release()
+
+    def result(self) -> int:
+        self._lock.acquire()
+        if isinstance(self._result, StoreError):
+            raise self._result
+        return self._result
+
+
+class _TaskWaiter:
+    """One trio task that waits for its batch."""
+
+    __slots__ = ("token", "event", "value")
+
+    def __init__(self, token: trio.lowlevel.TrioToken):
+        self.token = token
+        self.event = trio.Event()
+        self.value: int | StoreError = 0
+
+    def __call__(self, result: int | StoreError) -> None:
+        self.value = result
+
+
+def _wake(waiters: list[_TaskWaiter]) -> None:
+    for waiter in waiters:
+        waiter.event.set()
+
+
 class Store:
     """Opens a directory and holds it until `close`. Every method may be called from any thread."""
 
@@ -68,6 +108,7 @@
         self._waiting: deque[tuple[Batch, Done]] = deque()
         self._waiting_bytes = 0
         self._changed = threading.Condition()
+        self._committing = threading.Lock()
         self._closing = False
         self._dirty_since = 0.0
         self._stop = threading.Event()
@@ -83,8 +124,11 @@
     # ----------------------------------------------------------------------------------------------- writing
 
     def submit(self, batch: Batch, done: Done) -> None:
-        """Queue a batch; `done` is called in the committing thread with its version, or with what went wrong.
+        """Queue a batch; `done` is called in another thread with its version, or with what went wrong.
         Raises StoreBusy when too much waits."""
+        self._queue(batch, done, wake=True)
+
+    def _queue(self, batch: Batch, done: Done, wake: bool) -> None:
         with self._changed:
             if self._closing:
                 raise StoreClosed("the store is closed")
@@ -93,46 +137,39 @@
                 raise StoreBusy(f"{len(self._waiting)} batches wait already")
             self._waiting.append((batch, done))
             self._waiting_bytes += batch.size
-            if len(self._waiting) == 1:
+            if wake:
                 self._changed.notify_all()
 
     def write(self, batch: Batch) -> int:
-        """Write a batch, and wait until it is acknowledged. Its first operation's version. Raises
-        StoreError."""
-        future: Future[int] = Future()
-
-        def done(result: int | StoreError) -> None:
-            if isinstance(result, int):
-                future.set_result(result)
-            else:
-                future.set_exception(result)
-
+        """Write a batch and wait for its acknowledgement: its first operation's version; or StoreError."""
+        waiter = _Waiter()
         while True:
             try:
-                self.submit(batch, done)
-                return future.result()
+                self._queue(batch, waiter.done, wake=False)
+                break
             except StoreBusy:
                 with self._changed:
                     self._changed.wait(0.1)
+        # Whoever finds nobody committing does it here, and spares two changes of threads. Who commits lets
+        # go first and looks then for what came meanwhile, so nothing is left lying.
+        if self._committing.acquire(blocking=False):
+            try:
+                self._commit_waiting()
+            finally:
+                self._committing.release()
+            with self._changed:
+                if self._waiting or (self.engine.dirty and self.mode == "interval"):
+                    self._changed.notify_all()
+        return waiter.result()
 
     async def awrite(self, batch: Batch) -> int:
         """As `write`, without blocking trio's event loop. A cancelled wait takes nothing back."""
-        token = trio.lowlevel.current_trio_token()
-        event = trio.Event()
-        results: list[int | StoreError] = []
-
-        def done(result: int | StoreError) -> None:
-            results.append(result)
-            try:
-                token.run_sync_soon(event.set)
-            except trio.RunFinishedError:
-                pass  # nobody waits any more
-
-        self.submit(batch, done)
-        await event.wait()
-        if isinstance(results[0], StoreError):
-            raise results[0]
-        return results[0]
+        waiter = _TaskWaiter(trio.lowlevel.current_trio_token())
+        self.submit(batch, waiter)
+        await waiter.event.wait()
+        if isinstance(waiter.value, StoreError):
+            raise waiter.value
+        return waiter.value
 
     def put(self, key: bytes, value: bytes, expires: int = 0) -> int:
         return self.write(Batch().put(key, value, expires))
@@ -158,9 +195,8 @@
     def scan(self, *, prefix: bytes = b"", start: bytes = b"", stop: bytes | None = None,
              reverse: bool = False) -> Iterator[tuple[bytes, bytes]]:
         """Keys and values in order; see `Engine.scan`."""
-        for key, found in self.engine.scan(self.clock(), prefix=prefix, start=start, stop=stop,
-                                           reverse=reverse):
-            yield key, found.value
+        for key, value, _, _ in self.engine.rows(self.clock(), prefix, start, stop, reverse):
+            yield key, value
 
     def snapshot(self) -> Snapshot:
         return self.engine.snapshot(self.clock())
@@ -217,11 +253,10 @@
                     if due is not None and due <= 0:
                         break
                     self._changed.wait(due)
-                group = self._take_group()
-                if not group and self._closing:
+                if not self._waiting and self._closing:
                     return
-            if group:
-                self._commit(group)
+            with self._committing:
+                self._commit_waiting()
             due = self._sync_due()
             if due is not None and due <= 0:
                 try:
@@ -233,6 +268,12 @@
         dirty = self.engine.dirty and self.engine.poison is None
         return policy.sync_due(self.mode, dirty, self._dirty_since, time.monotonic(), self._interval)
 
+    def _commit_waiting(self) -> None:
+        with self._changed:
+            group = self._take_group()
+        if group:
+            self._commit(group)
+
     def _take_group(self) -> list[tuple[Batch, Done]]:
         group, size = [], 0
         while self._waiting and len(group) < MOST_GROUP:
@@ -246,20 +287,26 @@
         self._waiting_bytes -= size
         return group
 
-    def _commit(self, group: Iterable[tuple[Batch, Done]]) -> None:
+    def _commit(self, group: list[tuple[Batch, Done]]) -> None:
         clean, poisoned = not self.engine.dirty, self.engine.poison is not None
         segments = self.engine.sealed_count
         try:
             results = self.engine.commit([batch for batch, _ in group], self.clock(), self.mode == "always")
         except Exception as error:  # a bug of ours: those who wait must hear of it
             log.exception("store-fault")
-            results = [StoreError(f"internal fault: {error!r}")] * len(list(group))
+            results = [StoreError(f"internal fault: {error!r}")] * len(group)
         if clean and self.engine.dirty:
             self._dirty_since = time.monotonic()
         if self.engine.poison is not None and not poisoned:
             log.error("store-poisoned %s", self.engine.poison)
+        tasks: dict[trio.lowlevel.TrioToken, list[_TaskWaiter]] = {}
         for (_, done), result in zip(group, results, strict=True):
             done(result)
+            if type(done) is _TaskWaiter:
+                tasks.setdefault(done.token, []).append(done)
+        for token, waiters in tasks.items():  # one call into each loop, however many of its tasks wait
+            with suppress(trio.RunFinishedError):  # nobody waits there any more
+                token.run_sync_soon(_wake, waiters)
         if self.engine.sealed_count != segments or self.engine.short:
             self._look.set()
 
