Trace every operation: attempts, the module's grounds, where the time went, OTLP export

Sampling when it is over: bad ones all, ordinary ones by the trace id's bits. Export to rotated JSON lines and by OTLP over HTTP with a pure retry policy, a bounded queue and a spool in the store. yewrill trace list, show, why, report. Off unless tracing is set, and then not imported.

--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -181,6 +181,8 @@
 
 main.add_command(_Later("yewrill.store.commands", "store", "store",
                         help="Look into, check and move an embedded store (a dispatcher's `state_dir`)."))
+main.add_command(_Later("yewrill.tracing.commands", "trace", "tracing",
+                        help="Read traces: which jobs were late, refused, failed or tried again, and why."))
 
 
 if __name__ == "__main__":
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -64,6 +64,20 @@
     patience_ms: float = 250.0  # for which an attempt or an operators' call waits for the disk
 
 
+@dataclass(frozen=True, slots=True)
+class TracingConfig:
+    """What is traced, how much of it is kept, and where it goes. Sizes in MiB, `honoured` a second."""
+
+    share: float = 0.01
+    queue: int = 10_000
+    honoured: float = 10.0
+    collector: str = ""
+    file: str = ""
+    file_mb: float = 64.0
+    files: int = 4
+    spool_mb: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     listen: tuple[str, int]
@@ -79,6 +93,7 @@
     link_dir: str | None = None  # where they find each other
     mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
     state: StateConfig | None = None  # without it nothing is kept
+    tracing: TracingConfig | None = None  # without it nothing is traced
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
     linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
@@ -270,7 +285,7 @@
         if key not in raw and (environment or {}).get(variable):
             raw[key] = environment[variable]
     known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing",
-                  "mgmt", "state_dir", "state"}
+                  "mgmt", "state_dir", "state", "tracing"}
     for key in ("listen", "discovery", "settings"):
         if key not in raw:
             raise ConfigError(f"{key}: missing")
@@ -329,6 +344,7 @@
         inherited_fd=inherited,
         link_dir=(environment or {}).get(ENV_TEMPORARY) or None,
         state=_read_state(raw),
+        tracing=_read_tracing(raw),
         front=_one_of(raw.get("front", "platform"), "front", FRONTS),
         answer_margin_ms=margin,
         linger_ms=linger,
@@ -357,6 +373,37 @@
     )
 
 
+def _read_tracing(raw: Mapping[str, Any]) -> TracingConfig | None:
+    if raw.get("tracing") is None:
+        return None
+    given, default = _object(raw["tracing"], "tracing"), TracingConfig()
+    for key in given:
+        if key not in TracingConfig.__slots__:
+            raise ConfigError(f"tracing.{key}: no such key")
+
+    def number(key: str, low: float, high: float) -> float:
+        return _number(given.get(key, getattr(default, key)), f"tracing.{key}", low, high)
+
+    found = TracingConfig(
+        share=number("share", 0.0, 1.0),
+        queue=_whole(given.get("queue", default.queue), "tracing.queue", 1, 10**6),
+        honoured=number("honoured", 0.0, 1e6), file_mb=number("file_mb", 0.001, 1e6),
+        files=_whole(given.get("files", default.files), "tracing.files", 1, 1000),
+        spool_mb=number("spool_mb", 0.0, 1e5),
+        collector=_text(given["collector"], "tracing.collector") if "collector" in given else "",
+        file=_text(given["file"], "tracing.file") if "file" in given else "")
+    if not found.collector and not found.file:
+        raise ConfigError("tracing: a collector or a file is needed")
+    if found.collector:
+        address, slash, path = found.collector.removeprefix("http://").partition("/")
+        if not found.collector.startswith("http://"):
+            raise ConfigError(f"tracing.collector: {_show(found.collector)} is not http://IPv4-ADDRESS:PORT/PATH")
+        read_address(address, "tracing.collector")
+    if found.spool_mb and raw.get("state_dir") is None:
+        raise ConfigError("tracing.spool_mb: needs state_dir")
+    return found
+
+
 _OF_A_START = ("known", "seed")
 
 
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -59,7 +59,7 @@
     __slots__ = (
         "id", "cls", "spec", "most", "tenant", "need", "run", "known", "due", "wanted", "deadline", "over",
         "tries", "live", "held", "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq",
-        "hedged", "hinted",
+        "hedged", "hinted", "why",
     )
 
     def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float, rules: api.Settings):
@@ -88,6 +88,7 @@
         self.done = False
         self.hedged = False
         self.hinted = event.hint > 0
+        self.why = ""  # it was not sent when it was last looked at
         # Send time of the first attempt that may have run, -1: none may have. One before a restart counts.
         self.ran_at = max(0.0, now - event.ran_ago) if event.ran_ago >= 0 else -1.0
         self.ran_zone, self.ran_cell = event.ran_zone, event.ran_cell
@@ -502,7 +503,7 @@
         heappush(self.ends, (job.deadline - 2.0 * self.settings.tick, self.count, job))
         if self._spent(job):
             self._finish(job)
-            self.out.append(api.Fail(job.id))
+            self.out.append(api.Fail(job.id, "it may have run before a restart"))
             return
         tenant = self.tenants[event.tenant] if event.tenant < len(self.tenants) else self.tenants[0]
         if now >= job.due and not cls.late_pays:
@@ -518,7 +519,8 @@
         self._control()
         rung = 0 if job.over else cls.rung
         if rung < self.controller.gapped and not (not job.over and tenant.gaps[cls].passes(now)):
-            self._give_up(job)
+            level = self.controller.gapped
+            self._give_up(job, "its tenant is over its share" if job.over else f"gap level {level}")
             return
         if now >= job.due:
             self._overdue(job)
@@ -671,7 +673,7 @@
             insort(self.late, (job.deadline, self.count, job))
             self.stirred = True
         else:
-            self._give_up(job)
+            self._give_up(job, "it can't be in time")
 
     def _release_late(self) -> None:
         now = self.now
@@ -684,7 +686,7 @@
             elif job.deadline - now < job.run or self.controller.gapped or self._idle() < LATE_IDLE:
                 del self.late[at]
                 job.held = False
-                self._give_up(job)
+                self._give_up(job, "no spare slots to serve it late")
             else:
                 worker = self._choose(job, now, job.need + 1.0)
                 if worker is None:
@@ -723,6 +725,8 @@
                     candidates.append(group[int(rng() * size)])
         best = None
         best_finish = 1e18
+        why = "no worker"
+        self.among = len(candidates)
         allowed = -1.0 if job.over else self.order[0].limit * QUEUE_PART * min(1.0, 2.0 - 2.0 * used)
         for w in candidates:
             if not w.usable or w.blocked > now or (w is job.last and len(candidates) > 1):
@@ -741,12 +745,14 @@
             if w.unstarted and now - w.waiting_since > MISSING:
                 wait += now - w.waiting_since
             if spare < 0 and wait > allowed:
+                why = "no room"
                 continue
             ratio = self._ratio(w, now)
             if w.cold_from >= 0:
                 warm = self._warmth(w, now)
                 if warm < 1.0:
                     if not self._cold_room(w, job, now, warm):
+                        why = "cold budget"
                         continue
                     ratio /= warm
             finish = wait + job.run * ratio
@@ -757,6 +763,8 @@
                 finish -= 1e9  # a cold worker would wait for its turn until the others are full
             if finish < best_finish:
                 best, best_finish = w, finish
+        if best is None:
+            job.why = why
         return best
 
     def _may_repeat(self, job: Job, w: Worker, now: float) -> bool:
@@ -791,7 +799,7 @@
         w.sent_at = now
         if w.cold_from >= 0:
             w.credit -= job.run * job.need
-        self.out.append(api.Send(job.id, w.name))
+        self.out.append(api.Send(job.id, w.name, 0.0, self.among, job.why))
 
     # ----------------------------------------------------------------------------------------------- workers
 
@@ -1162,7 +1170,8 @@
         now = self.now
         out_of_tries = job.tries >= min(job.most, self.settings.max_attempts)
         if self._spent(job) or out_of_tries or job.deadline - now < job.run * 0.5:
-            self._give_up(job)
+            self._give_up(job, "it may have run, and may not run again" if self._spent(job) else
+                          "out of tries" if out_of_tries else "no time for another try")
         elif now >= job.due:
             self._overdue(job)
         else:
@@ -1174,20 +1183,20 @@
         return job.ran_at >= 0 and (spec.effect == api.UNSAFE or (
             spec.effect == api.KEYED and self.now - job.ran_at > spec.window * 0.9))
 
-    def _give_up(self, job: Job) -> None:
+    def _give_up(self, job: Job, why: str) -> None:
         """The final answer for a job without attempts out: a refusal where the rules allow one."""
         spec = job.spec
         may_refuse = job.ran_at < 0 or spec.effect == api.SAFE or (
             spec.effect == api.KEYED and spec.group == "all")
         if may_refuse and not job.live:
-            self._refuse(job)
+            self._refuse(job, why)
         else:
             self._finish(job)
-            self.out.append(api.Fail(job.id))
+            self.out.append(api.Fail(job.id, why))
 
-    def _refuse(self, job: Job) -> None:
+    def _refuse(self, job: Job, why: str) -> None:
         self._finish(job)
-        self.out.append(api.Refuse(job.id, self.settings.max_retry_after))
+        self.out.append(api.Refuse(job.id, self.settings.max_retry_after, why))
 
     def _finish(self, job: Job) -> None:
         if not job.done:
@@ -1214,9 +1223,9 @@
             if not job.done:
                 if job.live:
                     self._finish(job)
-                    self.out.append(api.Fail(job.id))
+                    self.out.append(api.Fail(job.id, "its time is up, with an attempt out"))
                 else:
-                    self._give_up(job)
+                    self._give_up(job, "its time is up")
 
     def _arm_end(self) -> None:
         ends = self.ends
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -49,6 +49,7 @@
     ran_zone: int = -1
     ran_cell: int = -1
     on_progress: Callable[[RouteStep, float], None] | None = None
+    trace: Any = None
     # The facade's own.
     key: str = ""
     steps: int = 0
@@ -66,6 +67,7 @@
     number: int
     destination: str
     until: float  # when to stop waiting
+    trace: Any = None  # where tracing is on: told of every moment
     sent: float = 0.0
     withdrawn: Ending | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -81,6 +83,7 @@
     """Refused: trying again is harmless, best after `retry_after` milliseconds (0: no advice)."""
 
     retry_after: float
+    why: str = ""  # the module's ground
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,7 @@
     """Failed, with no promise about its effect."""
 
     text: str = "failed"
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +187,8 @@
     def report(self, step: RouteStep, ending: Ending) -> None:
         """Tell how a route step ended. A served one concludes its operation."""
         operation = step.operation
+        if step.trace is not None:
+            step.trace.end, step.trace.ending = trio.current_time(), ending.value
         operation.live = None
         self._live.pop(operation.key, None)
         if ending is Ending.SERVED:
@@ -192,15 +198,22 @@
                                    operation.closed, worn=ending.worn))
 
     def started(self, step: RouteStep) -> None:
+        if step.trace is not None:
+            step.trace.started = trio.current_time()
         self._put(api.AttemptStarted(step.operation.key, step.number, step.destination))
 
     def progress(self, step: RouteStep, share: float) -> None:
+        if step.trace is not None:
+            step.trace.note_progress(trio.current_time(), share)
         self._put(api.AttemptProgress(step.operation.key, step.number, step.destination, share))
         if step.operation.on_progress is not None:
             step.operation.on_progress(step, share)
 
     def left(self, operation: Operation) -> None:
         """The client has gone: nothing more is owed. An attempt that is out runs on: its end tells much."""
+        if operation.trace is not None and not operation.client_left:
+            operation.trace.event(trio.current_time(), "client-left")
+            operation.trace.decide(trio.current_time(), "left")
         operation.client_left = True
         if operation.key and not operation.closed:
             self._close(operation, tell=True)
@@ -307,6 +320,9 @@
                 until = min(until, now + action.timeout)
             step = RouteStep(operation, operation.steps, action.worker, until)
             operation.steps += 1
+            if operation.trace is not None:
+                step.trace = operation.trace.chosen(step.number, action.worker, action.among, action.held,
+                                                    trio.current_time())
             if operation.closed:  # it ended between the module's last moment and this one
                 self.report(step, Ending.NOT_SENT)
             else:
@@ -318,7 +334,8 @@
             self._close(operation)
             if operation.live is not None:
                 operation.live.withdraw(Ending.TIMED_OUT)
-            self._choose(operation, BusyReply(action.retry_after) if kind is api.Refuse else Failure())
+            self._choose(operation, BusyReply(action.retry_after, action.why) if kind is api.Refuse
+                         else Failure(why=action.why))
         elif kind is api.SetTimer:
             heappush(self._timers, (now + action.delay, action.token))
         elif kind is api.Probe:
--- a/yewrill/figures.py
+++ b/yewrill/figures.py
@@ -22,6 +22,10 @@
         """Something was to be kept over a restart."""
         self._counts["state_kept" if kept else "state_failed"] += 1
 
+    def add(self, counts: Mapping[str, int]) -> None:
+        """Counts that are kept elsewhere, as they stand now."""
+        self._counts.update(counts)
+
     def know(self, classes: Iterable[str]) -> None:
         """These classes have their lines from now on; those of a dropped class stay."""
         for name in classes:
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -145,6 +145,8 @@
     request: Request = step.operation.payload
     headers: list[tuple] = [("Host", "destination")]
     headers += request.passed
+    if step.trace is not None:
+        headers += step.trace.headers
     headers.append(("X-Timeout-Ms", str(wait_ms)))
     if accept:
         headers.append(("Accept", accept))
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -222,6 +222,8 @@
     job: str
     worker: str
     timeout: float = 0.0  # 0: until the client gives up
+    among: int = 0  # workers that were considered
+    held: str = ""  # why it was not sent at once, in plain words
 
 
 @dataclass(slots=True)
@@ -230,6 +232,7 @@
 
     job: str
     retry_after: float = 0.0
+    why: str = ""  # the ground, in plain words
 
 
 @dataclass(slots=True)
@@ -237,6 +240,7 @@
     """A final answer that promises nothing."""
 
     job: str
+    why: str = ""
 
 
 @dataclass(slots=True)
--- a/yewrill/keeping.py
+++ b/yewrill/keeping.py
@@ -205,6 +205,32 @@
         await self._write(batch)
         self.list_changed()
 
+    # -- a spool's batches
+
+    def held_under(self, prefix: bytes) -> tuple[int, int]:
+        """The bytes of all values under a prefix, and the number that the last key ends with. Blocks."""
+        held = number = 0
+        if self._store is not None:
+            for key, value in self._store.scan(prefix=prefix):
+                held, number = held + len(value), int(key[len(prefix):], 16)
+        return held, number
+
+    def first(self, prefix: bytes) -> tuple[bytes, bytes] | None:
+        """The first key under a prefix, and its value. Blocks."""
+        if self._store is None:
+            return None
+        try:
+            return next(self._store.scan(prefix=prefix), None)
+        except StoreError as error:
+            log.error("state-unreadable records=%s: %s", prefix.decode(), error)
+            return None
+
+    async def keep(self, key: bytes, value: bytes) -> bool:
+        return await self._write(Batch().put(key, value))
+
+    async def drop(self, key: bytes) -> bool:
+        return await self._write(Batch().delete(key))
+
     # -- attempts
 
     def clocks(self) -> Clocks:
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -105,6 +105,8 @@
         def on_sent() -> None:
             nonlocal sent
             sent = True
+            if step.trace is not None:
+                step.trace.written = trio.current_time()
             self.on_written()
 
         outcome: tuple[Ending, Any] | None = None
@@ -120,6 +122,9 @@
         destination = self._pool.get(step.destination)
         if destination is None:
             return Ending.NOT_SENT, None
+        trace = step.trace
+        if trace is not None:
+            trace.begin = trio.current_time()
         if self.promise is not None:
             await self.promise(step)
         line = self._take(destination)
@@ -137,6 +142,8 @@
                 # Our own shortage says nothing against the destination.
                 log.warning("sockets-short open=%d: %s", self.open, error.strerror)
                 return Ending.NOT_SENT, None
+        if trace is not None:
+            trace.connected = trio.current_time()
         keep = False
         try:
             # Opening took time: the last look before the first byte.
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -45,6 +45,10 @@
         except UnicodeDecodeError:
             raise BadRequest(400, f"header {name.decode()} is not plain ASCII") from None
 
+    def each(self, name: bytes) -> list[str]:
+        """All values of a header that must never fail a request, whatever they hold."""
+        return [value.decode("latin-1") for key, value in self.headers if key == name]
+
 
 @dataclass(slots=True)
 class Reply:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from yewrill.keeping import Keeper
+    from yewrill.traced import Traced
 
 log = logging.getLogger("yewrill")
 
@@ -84,6 +85,11 @@
             self.keeper = Keeper(config.state, self.pool, self.figures)
             self.figures.know_state()
             self.destinations.promise = self.keeper.promise
+        self.traced: Traced | None = None  # told of every operation
+        if config.tracing is not None:
+            from yewrill.traced import Traced
+
+            self.traced = Traced(config)
         self.handover: HandOver | None = None
         if config.inherited_fd is not None and config.link_dir is not None:
             self.handover = HandOver(link_path(config.link_dir, config.name, config.listen),
@@ -100,6 +106,10 @@
             self.nursery = nursery
             if self.keeper is not None:
                 await self._begin_keeping(kept)
+            if self.traced is not None:
+                if self.keeper is not None and self.keeper.held:
+                    await trio.to_thread.run_sync(self.traced.spool_in, self.keeper)
+                nursery.start_soon(_keep, self.traced.exporter.run)
             nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
             nursery.start_soon(_keep, self.destinations.keep_tidy)
             if self.door is not None:
@@ -123,6 +133,8 @@
             log.info("drained")
             nursery.cancel_scope.cancel()
         self.destinations.close()
+        if self.traced is not None:
+            await self.traced.exporter.flush()
         if self.keeper is not None:
             await trio.to_thread.run_sync(self.keeper.close_store)
         if self.handover is not None:
@@ -162,6 +174,10 @@
         self.destinations.retune(taken.connect_timeout_ms / 1000.0, taken.idle_close_ms / 1000.0)
         self.watch.move(taken.discovery)
         self.figures.reloaded(True)
+        if self.traced is not None:
+            self.traced.tracer.event("reloaded")
+            if config.tracing is not None:
+                self.config = taken = replace(taken, tracing=self.traced.retune(config.tracing))
         log.info("reloaded discovery=%s:%d classes=%s", *taken.discovery,
                  ",".join(c.name for c in taken.settings.classes))
         if others := differing(taken, config):
@@ -172,6 +188,8 @@
         time to answer; and give whatever is then left its final answer before the platform kills us."""
         self.draining = True
         began = trio.current_time()
+        if self.traced is not None:
+            self.traced.tracer.event("draining")
         config = self.config
         if self.handover is not None and self.handover.heir_ready:
             # What comes from now on is the heir's; what was accepted is ours, and goes with its answer.
@@ -296,6 +314,8 @@
     async def _vars(self) -> Reply:
         avoided = self.decisions.avoided()
         listed = self.pool.names
+        if self.traced is not None:
+            self.figures.add(self.traced.figures())
         return Reply(200, self.figures.text({
             "concurrent": self.decisions.pending, "targets": len(listed),
             "targets_disabled": sum(not self.pool.may_send(name) or name in avoided for name in listed),
@@ -383,8 +403,8 @@
                 await client.send(client.http.whole(turned_back, close=True))
                 return False
             self._take_id(operation.id)
-            if self.keeper is not None:
-                self._recall(operation)
+            if self.keeper is not None or self.traced is not None:
+                self._introduce(operation, request, now)
             self.decisions.take(operation)
             job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
@@ -401,6 +421,8 @@
                 self._free_id(operation.id)
                 if self.keeper is not None:
                     self.keeper.closed(operation)
+                if self.traced is not None:
+                    self.traced.over(operation)
         close = self._closing(client)
         return await client.send(client.http.whole(reply, close)) and not close
 
@@ -409,14 +431,21 @@
         attempt = self.destinations.attempt if self.keeper is None else self._kept_attempt
         answer = await carry(operation, self.decisions, attempt)
         if answer is not None:
+            if self.traced is not None:
+                self.traced.answered(operation, answer)
             self.figures.answered(job_class, SUCCESS if isinstance(answer, Served) else
                                   OVERLOAD if isinstance(answer, BusyReply) else ERROR)
         return answer
 
-    def _recall(self, operation: Operation) -> None:
+    def _introduce(self, operation: Operation, request: Request, now: float) -> None:
+        """Tell those beside the core of an operation, by the settings that it is read with."""
         settings = self.config.settings
+        spec = settings.classes[operation.job_class]
         tenant = settings.tenants[operation.tenant].name if settings.tenants else ""
-        self.keeper.take(operation, settings.classes[operation.job_class], tenant)
+        if self.keeper is not None:
+            self.keeper.take(operation, spec, tenant)
+        if self.traced is not None:
+            self.traced.begin(operation, request, spec, tenant, now)
 
     async def _kept_attempt(self, step: RouteStep) -> tuple[Ending, Any]:
         ending, result = await self.destinations.attempt(step)
--- /dev/null
+++ b/yewrill/traced.py
@@ -0,0 +1,100 @@
+"""Joins tracing to the dispatcher: operations and answers in, plain values out to `yewrill.tracing`.
+
+Imported only where `tracing` is set.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Protocol
+
+import trio
+
+from yewrill import __version__
+from yewrill.config import Config, TracingConfig
+from yewrill.core import Answer, Served
+from yewrill.facade import BusyReply, Operation
+from yewrill.interface import JobClass
+from yewrill.net.http import Request
+from yewrill.tracing.export import Exporter, StoreSpool, Target
+from yewrill.tracing.tracer import Bounds, Tracer
+
+SPOOL = b"trace/"
+
+
+class StoreLike(Protocol):
+    """What `keeping.Keeper` offers to a spool."""
+
+    def held_under(self, prefix: bytes) -> tuple[int, int]: ...
+
+    def first(self, prefix: bytes) -> tuple[bytes, bytes] | None: ...
+
+    async def keep(self, key: bytes, value: bytes) -> bool: ...
+
+    async def drop(self, key: bytes) -> bool: ...
+
+
+class Traced:
+    """One tracer and its exporter."""
+
+    def __init__(self, config: Config):
+        assert config.tracing is not None
+        self._config = config.tracing
+        rng = random.Random()  # of the system's own seed: two dispatchers must not make the same ids
+        self.tracer = Tracer(_bounds(self._config), clock=trio.current_time, wall=time.time, rng=rng)
+        resource = {"service.name": "yewrill", "service.version": __version__,
+                    "service.instance.id": config.name}
+        target = Target(url=self._config.collector, file=self._config.file, file_mb=self._config.file_mb,
+                        files=self._config.files)
+        self.exporter = Exporter(self.tracer, target, resource, __version__, rng=rng)
+
+    def spool_in(self, store: StoreLike) -> None:
+        """Batches that the collector does not take go there, and those that an earlier run left go out
+        first."""
+        if self._config.spool_mb and self._config.collector:
+            held, number = store.held_under(SPOOL)
+            self.exporter.spool = StoreSpool(store.keep, store.first, store.drop, prefix=SPOOL, held=held,
+                                             number=number, most=int(self._config.spool_mb * 2**20))
+            self.tracer.on_kept()
+
+    def retune(self, config: TracingConfig) -> TracingConfig:
+        """Take up the share and the bounds; the rest waits for a restart. What holds from now on."""
+        self.tracer.retune(_bounds(config))
+        self._config = replace(self._config, share=config.share, queue=config.queue, honoured=config.honoured)
+        return self._config
+
+    def begin(self, operation: Operation, request: Request, spec: JobClass, tenant: str, now: float) -> None:
+        """`now`: the module's clock, in ms."""
+        parents = request.each(b"traceparent")
+        operation.trace = self.tracer.begin(
+            operation.id, spec.name, tenant, aim=spec.aim, stretch=spec.stretch,
+            deadline=operation.deadline - now, parent=parents[0] if len(parents) == 1 else None,
+            state=",".join(request.each(b"tracestate")), first_byte=request.arrived)
+        if operation.ran_ago >= 0:
+            operation.trace.event(trio.current_time(), "repeat-of-earlier-run",
+                                  f"{operation.ran_ago:.0f} ms ago")
+
+    def answered(self, operation: Operation, answer: Answer) -> None:
+        if operation.trace is not None:
+            at = trio.current_time()
+            if isinstance(answer, Served):
+                operation.trace.decide(at, "served")
+            elif isinstance(answer, BusyReply):
+                operation.trace.decide(at, "refused", answer.why, answer.retry_after)
+            else:
+                operation.trace.decide(at, "failed", answer.why or answer.text)
+
+    def over(self, operation: Operation) -> None:
+        """Nothing of it is out any more."""
+        if operation.trace is not None:
+            self.tracer.finish(operation.trace)
+
+    def figures(self) -> Mapping[str, int]:
+        return self.exporter.figures()
+
+
+def _bounds(config: TracingConfig) -> Bounds:
+    return Bounds(config.share, config.queue, config.honoured)
--- /dev/null
+++ b/yewrill/tracing/record.py
@@ -0,0 +1,104 @@
+"""A record while its operation lives, and the plain dictionary that it becomes.
+
+The dispatcher marks moments as it meets them, in seconds of its event loop; nothing is computed until the
+operation is over. The dictionary is what is sampled, queued, spooled, written to files and turned into
+OTLP: JSON's own types only, times in nanoseconds since the epoch.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from yewrill.tracing.context import Context
+
+VERSION = 1
+MOST_TEXT = 256
+MOST_EVENTS = 32
+
+
+def _cut(text: str) -> str:
+    return text if len(text) <= MOST_TEXT else text[:MOST_TEXT - 1] + "…"
+
+
+class AttemptTrace:
+    """One attempt; a moment that never came stays at 0."""
+
+    __slots__ = ("span", "number", "destination", "among", "held", "chosen", "begin", "connected", "written",
+                 "started", "progressed", "share", "end", "ending", "headers")
+
+    def __init__(self, span: str, number: int, destination: str, among: int, held: str, chosen: float):
+        self.span = span
+        self.number = number
+        self.destination = destination
+        self.among = among  # candidates that it was chosen from
+        self.held = held  # why no earlier moment would do
+        self.chosen = chosen
+        self.begin = self.connected = self.written = self.started = self.progressed = self.end = 0.0
+        self.share = 0.0
+        self.ending = ""
+        self.headers: list[tuple[str, str]] = []  # to go with the request
+
+    def note_progress(self, at: float, share: float) -> None:
+        self.progressed, self.share = at, share
+
+
+class OperationTrace:
+    """An operation under way."""
+
+    __slots__ = ("context", "span", "id", "job_class", "tenant", "aim", "stretch", "deadline", "start",
+                 "taken", "decided", "answer", "why", "retry_after", "attempts", "events", "_tracer")
+
+    def __init__(self, tracer: Any, context: Context, span: str, id: str, job_class: str, tenant: str,
+                 aim: float, stretch: float, deadline: float, start: float, taken: float):
+        self._tracer = tracer
+        self.context = context
+        self.span = span
+        self.id, self.job_class, self.tenant = id, job_class, tenant
+        self.aim, self.stretch, self.deadline = aim, stretch, deadline  # ms, none, ms from the start
+        self.start, self.taken = start, taken
+        self.decided = 0.0
+        self.answer = self.why = ""
+        self.retry_after = 0.0  # ms
+        self.attempts: list[AttemptTrace] = []
+        self.events: list[tuple[float, str, str]] = []
+
+    def chosen(self, number: int, destination: str, among: int, held: str, at: float) -> AttemptTrace:
+        attempt = AttemptTrace(self._tracer.new_span(), number, destination, among, held, at)
+        attempt.headers = self._tracer.headers(self.context, attempt.span)
+        self.attempts.append(attempt)
+        return attempt
+
+    def event(self, at: float, name: str, text: str = "") -> None:
+        if len(self.events) < MOST_EVENTS:
+            self.events.append((at, name, text))
+
+    def decide(self, at: float, answer: str, why: str = "", retry_after: float = 0.0) -> None:
+        """What the client is to be told, and on what ground. The first word stands."""
+        if not self.answer:
+            self.decided, self.answer, self.why, self.retry_after = at, answer, why, retry_after
+
+    def as_dict(self, end: float, offset: float) -> dict[str, Any]:
+        """`offset`: seconds from the loop's clock to the epoch."""
+        def ns(at: float) -> int:
+            return int((at + offset) * 1e9) if at else 0
+
+        attempts = []
+        for attempt in self.attempts:
+            then = "served" if attempt.ending == "served" else \
+                "tried again" if attempt is not self.attempts[-1] else self.answer or "left"
+            attempts.append({
+                "span": attempt.span, "number": attempt.number, "to": _cut(attempt.destination),
+                "among": attempt.among, "held": attempt.held, "chosen": ns(attempt.chosen),
+                "begin": ns(attempt.begin or attempt.chosen), "connected": ns(attempt.connected),
+                "written": ns(attempt.written), "started": ns(attempt.started),
+                "progressed": ns(attempt.progressed), "share": attempt.share,
+                "end": ns(attempt.end or end), "ending": attempt.ending or "unknown", "then": then})
+        return {
+            "v": VERSION, "trace": self.context.trace, "span": self.span, "parent": self.context.parent,
+            "id": _cut(self.id), "class": _cut(self.job_class), "tenant": _cut(self.tenant),
+            "start": ns(self.start), "taken": ns(self.taken), "decided": ns(self.decided), "end": ns(end),
+            "deadline_ms": self.deadline, "aim_ms": self.aim, "stretch": self.stretch,
+            "answer": self.answer or "left", "why": self.why, "retry_after_ms": self.retry_after,
+            "attempts": attempts,
+            "events": [{"at": ns(at), "name": name, "text": _cut(text)} for at, name, text in self.events],
+        }
--- /dev/null
+++ b/yewrill/tracing/report.py
@@ -0,0 +1,103 @@
+"""One self-contained HTML page of many records: bad jobs by class and cause, the breakdown by percentile,
+the worst."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from html import escape
+from typing import Any
+
+from yewrill.tracing import breakdown, reading, sampling
+
+AT = (50.0, 90.0, 99.0)
+WORST = 20
+MOST_VALUES = 100_000  # of a class and part; later ones thin what is there
+_COLOURS = {"receiving": "#9aa5b1", "held": "#e0b64a", "connecting": "#7fb3d5", "queued": "#d98880",
+            "running": "#58a672", "lost": "#b03a48", "answering": "#8e7cc3"}
+_STYLE = """body{font:14px/1.5 system-ui,sans-serif;margin:2em auto;max-width:64em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .8em;border-bottom:1px solid
+#ddd;text-align:right}
+td:first-child,th:first-child{text-align:left}.bar{display:flex;height:1.1em;background:#f4f4f4;margin:.15em
+0} .bar i{display:block;height:100%}.key i{display:inline-block;width:1em;height:.8em;margin:0 .3em 0 1em}
+pre{background:#f7f7f7;padding:.6em;white-space:pre-wrap}summary{cursor:pointer}"""
+
+
+class Report:
+    """Take records one by one; memory is bounded by classes and `MOST_VALUES`."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.causes: dict[str, Counter] = defaultdict(Counter)
+        self.grounds: Counter = Counter()
+        self.endings: Counter = Counter()
+        self.values: dict[str, dict[str, list[float]]] = defaultdict(lambda: defaultdict(list))
+        self.worst: list[tuple[int, int, Any]] = []
+
+    def take(self, record: reading.Record) -> None:
+        self.count += 1
+        job_class, bad = record["class"], [c for c in record["kept"] if c in sampling.BAD]
+        self.causes[job_class].update(bad or ["ordinary"])
+        if record["why"]:
+            self.grounds[record["answer"], record["why"]] += 1
+        self.endings.update((a["to"], a["ending"]) for a in record["attempts"] if a["ending"] != "served")
+        values = self.values[job_class]
+        for part, spent in record["parts"].items():
+            if len(values[part]) >= MOST_VALUES:
+                del values[part][::2]
+            values[part].append(spent)
+        if bad:
+            entry = (record["end"] - record["start"], self.count, record)
+            if len(self.worst) < WORST:
+                heapq.heappush(self.worst, entry)
+            else:
+                heapq.heappushpop(self.worst, entry)
+
+    def html(self) -> str:
+        causes = (*sampling.BAD, "ordinary")
+        key = "".join(f'<i style="background:{colour}"></i>{part}' for part, colour in _COLOURS.items())
+        sections = [
+            "<h1>Where the time went</h1>", f"<p>{self.count} records.</p>",
+            "<h2>By class and cause</h2>",
+            _table(["class", *causes], ([name, *(found[cause] for cause in causes)]
+                                        for name, found in sorted(self.causes.items()))),
+            "<h2>Grounds of refusals and failures</h2>",
+            _table(["answer", "ground", "jobs"],
+                   ([*ground, count] for ground, count in self.grounds.most_common(30))),
+            "<h2>Attempts that came to nothing</h2>",
+            _table(["destination", "ending", "attempts"],
+                   ([*what, count] for what, count in self.endings.most_common(30))),
+            "<h2>Breakdown by percentile, ms</h2>", self._breakdown(),
+            f"<h2>The worst {len(self.worst)}</h2>", f'<p class="key">{key}</p>',
+            *(_worst(record) for _, _, record in sorted(self.worst, reverse=True)),
+        ]
+        return ("<!doctype html><html lang=en><meta charset=utf-8><title>yewrill trace report</title>"
+                f"<style>{_STYLE}</style><body>{''.join(sections)}</body></html>\n")
+
+    def _breakdown(self) -> str:
+        rows = []
+        for name, values in sorted(self.values.items()):
+            for part in breakdown.PARTS:
+                found = breakdown.percentiles(values[part], AT)
+                rows.append([name, part, *(f"{value / 1e6:.1f}" for value in found)])
+        return _table(["class", "part", *(f"p{at:g}" for at in AT)], rows)
+
+
+def _table(heads: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
+    body = "".join("<tr>" + "".join(f"<td>{escape(str(cell))}</td>" for cell in row) + "</tr>"
+                   for row in rows)
+    if not body:
+        return "<p>None.</p>"
+    return "<table><tr>" + "".join(f"<th>{escape(head)}</th>" for head in heads) + f"</tr>{body}</table>"
+
+
+def _worst(record: reading.Record) -> str:
+    whole = max(1, record["end"] - record["start"])
+    bar = "".join(f'<i title="{part} {reading.ms(end - begin)}" style="background:{_COLOURS[part]};'
+                  f'width:{100 * (end - begin) / whole:.2f}%"></i>'
+                  for part, begin, end in breakdown.stretches(record))
+    text = escape("\n".join(reading.why(record)))
+    return (f"<details><summary>{escape(record['class'])} {escape(record['id'])}: {reading.ms(whole)}, "
+            f"{escape(','.join(record['kept']))}</summary>"
+            f"<div class=bar>{bar}</div><pre>{text}</pre></details>")
