Log as JSON or console by structlog, thin floods, and never wait for the log's reader

The event and its keys are read from the line's own template, so the calls and the lines that on-call staff know did not change. With tracing on, lines of an operation carry its id and trace.

--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -46,7 +46,15 @@
     show_default=True,
     type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
 )
-def serve(path: str, log_level: str) -> None:
+@click.option(
+    "--log-format",
+    envvar="YEWRILL_LOG_FORMAT",
+    default="plain",
+    show_default=True,
+    type=click.Choice(["plain", "console", "json"]),
+    help="console and json need structlog.",
+)
+def serve(path: str, log_level: str, log_format: str) -> None:
     """Run the dispatcher in the foreground until SIGTERM."""
     from yewrill.service import serve as run
 
@@ -54,7 +62,10 @@
         config = load_config(path, os.environ)
     except ConfigError as error:
         _fail(error)
-    sys.exit(run(config, log_level, lambda: load_config(path, os.environ)))
+    try:
+        sys.exit(run(config, log_level, lambda: load_config(path, os.environ), log_format))
+    except ModuleNotFoundError as error:
+        _fail(ConfigError(f"--log-format: {error.name} is not installed: pip install 'yewrill[log]'"))
 
 
 @main.command()
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -20,6 +20,7 @@
 from yewrill.figures import ERROR, OVERLOAD, SUCCESS, Figures
 from yewrill.fronts.platform import PlatformFront, Reader
 from yewrill.fronts.progress import ProgressFront
+from yewrill.logs import logging_to, of_operation
 from yewrill.net.destinations import DestinationPool
 from yewrill.net.door import Call, Door
 from yewrill.net.handover import HandOver, link_path
@@ -410,6 +411,8 @@
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
             try:
                 async with client.watched(self.nursery):
+                    if operation.trace is not None:
+                        of_operation(operation.id, operation.trace.context.trace)
                     return await self.front.respond(
                         client, operation,
                         lambda: self._carry(operation, job_class),
@@ -491,17 +494,17 @@
             await trio.sleep(AFTER_FAULT)
 
 
-def serve(config: Config, level: str = "INFO", load: Callable[[], Config] | None = None) -> int:
+def serve(config: Config, level: str = "INFO", load: Callable[[], Config] | None = None,
+          log_form: str = "plain") -> int:
     """Run the service in the foreground; its log goes to standard error. SIGHUP reads anew with `load`."""
-    logging.basicConfig(stream=sys.stderr, level=level,
-                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload must not end us
-    try:
-        service_run(config, load)
-    except OSError as error:
-        log.error("can't-start: %s", error)
-        return 1
-    return 0
+    with logging_to(sys.stderr, level, log_form):
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload must not end us
+        try:
+            service_run(config, load)
+        except OSError as error:
+            log.error("can't-start: %s", error)
+            return 1
+        return 0
 
 
 def service_run(config: Config, load: Callable[[], Config] | None = None) -> None:
