Test traces of a vanished profiler, a client that quits mid-retry, and both runs of an upgrade

Three hard cases of tracing had no story of their own. Now: a destination that never says a word leaves a span that ends when it is given up, with its last byte's time; a client that goes while its retry is pending or out leaves a record of both; an elder's open operation has the reload and the drain as events, and the heir's next one is in the same trace.

--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -306,8 +306,10 @@
             x.reset()
         elif x.id.startswith("fail"):
             await x.say("failed")
-        elif x.id.startswith("gone"):
+        elif x.id.startswith(("gone", "vanish", "quit")) and not (x.id.startswith("quit") and first):
             await x.closed()
+        elif x.id.startswith("quit"):
+            await x.status(503, "X-Not-Processed: 1")
         else:
             await x.done()
 
@@ -320,7 +322,7 @@
         async def ask(id, **headers):
             target = "/once" if id.startswith("fail") else "/tour"
             statuses[id] = None
-            with trio.move_on_after(0.1 if id.startswith("gone") else 15):
+            with trio.move_on_after(0.1 if id.startswith(("gone", "quit")) else 15):
                 statuses[id] = (await w.ask(target, X_Request_ID=id, **headers)).status
 
         def expected(id) -> set[str]:
@@ -330,7 +332,8 @@
 
         for i in range(400):
             await ask(f"plain{i}")
-        for kind in ("late", "retry", "fail", "gone", "reset"):
+        await ask("vanish0")
+        for kind in ("late", "retry", "fail", "quit", "gone", "reset"):
             for i in range(5):
                 await ask(f"{kind}{i}")
         # No time left that could do: refused at once, with the module's ground.
@@ -371,6 +374,14 @@
     # An attempt outlives its answer: it ends where it is seen to end, not where the client went.
     assert gone["attempts"][0]["end"] > gone["decided"] and gone["attempts"][0]["ending"] != "served"
     run = CliRunner()
+    # Its profiler vanished without a word: the span ends when it is given up, with what is known.
+    vanished = [r for k, r in found.items() if k.startswith("vanish") and r["attempts"]]
+    assert vanished
+    for last in (r["attempts"][-1] for r in vanished):
+        assert last["ending"] == "timed out" and last["end"] - last["written"] > 100e6 and not last["started"]
+    # Its client gave up in the middle of a retry, pending or under way.
+    assert any(r["answer"] == "left" and r["attempts"][0]["ending"] == "turned away"
+               for k, r in found.items() if k.startswith("quit") and r["attempts"])
     listed = run.invoke(main, ["trace", "list", str(path), "--cause", "late"]).stdout
     assert len(listed.splitlines()) == len(late)
     assert "lost" in run.invoke(main, ["trace", "show", retried["id"], str(path)]).stdout
@@ -383,6 +394,36 @@
     assert run.invoke(main, ["trace", "list", str(tmp_path / "absent")]).exit_code == 2
 
 
+@story
+async def test_an_upgrade_and_a_reload_are_seen_in_the_lives_they_fall_into(tmp_path, monkeypatch):
+    from test_operators import shared_world, start_heir
+
+    monkeypatch.setattr(export, "GATHER", 0.001)
+    gate = trio.Event()
+
+    async def waits(x):
+        if x.id == "slow":
+            await gate.wait()
+        await x.done()
+
+    paths = tmp_path / "elder", tmp_path / "heir"
+    async with shared_world(Peer("d1", waits), tracing={"file": str(paths[0]), "share": 1.0}) as w:
+        slow = await w.shared.client()
+        await slow.send(X_Request_ID="slow", traceparent=f"00-{TRACE}-{SPAN}-01")
+        await w.until(lambda: w.elder.traced.tracer.open == 1)
+        w.elder.reload()
+        await start_heir(w, tracing={"file": str(paths[1]), "share": 1.0})
+        w.nursery.start_soon(w.elder.drain)
+        await w.until(lambda: w.elder.draining)
+        assert (await w.ask(X_Request_ID="next", traceparent=f"00-{TRACE}-{SPAN}-01")).status == 200
+        gate.set()
+        assert (await slow.reply()).status == 200
+        await w.until(lambda: "slow" in reads(paths[0]) and "next" in reads(paths[1]))
+    elder, heir = reads(paths[0])["slow"], reads(paths[1])["next"]
+    assert elder["trace"] == heir["trace"] == TRACE and elder["span"] != heir["span"]
+    assert [e["name"] for e in elder["events"]] == ["reloaded", "draining"] and not heir["events"]
+
+
 @story
 async def test_a_wall_clock_set_back_bends_no_duration_and_a_reload_changes_the_share(tmp_path, monkeypatch):
     monkeypatch.setattr(export, "GATHER", 0.001)
