Say once how kept records, calls' answers and a record's lateness are made

A reading of the whole change found three things written twice: the records of what operators took out and put back (at the call and when a store is taken over), the answer to a call that is not on disk (four times), and whether an operation was late (worked out twice for each that is kept). Each is one piece now; nothing behaves otherwise.

--- a/yewrill/keeping.py
+++ b/yewrill/keeping.py
@@ -182,12 +182,10 @@
 
     async def taken_out(self, name: str) -> bool:
         """Whether it is on disk; an operators' call waits for that."""
-        return await self._write(Batch().put(OUT + name.encode(), b"{}").delete(BACK + name.encode()))
+        return await self._write(_note_out(Batch(), name).delete(BACK + name.encode()))
 
     async def put_back(self, name: str, at: float) -> bool:
-        value = ujson.dumps({"at": at}).encode()
-        until = int(at + REMEMBERED * 1000.0)
-        return await self._write(Batch().delete(OUT + name.encode()).put(BACK + name.encode(), value, until))
+        return await self._write(_note_back(Batch().delete(OUT + name.encode()), name, at))
 
     async def lame(self, on: bool) -> bool:
         return await self._write(Batch().put(LAME, b"1") if on else Batch().delete(LAME))
@@ -198,9 +196,9 @@
         for key, _ in [*self._read(OUT), *self._read(BACK)]:
             batch.delete(OUT + key.encode()).delete(BACK + key.encode())
         for name in out:
-            batch.put(OUT + name.encode(), b"{}")
+            _note_out(batch, name)
         for name, at in back.items():
-            batch.put(BACK + name.encode(), ujson.dumps({"at": at}).encode(), int(at + REMEMBERED * 1000.0))
+            _note_back(batch, name, at)
         batch.put(LAME, b"1") if lame else batch.delete(LAME)
         await self._write(batch)
         self.list_changed()
@@ -313,6 +311,14 @@
         return not reason
 
 
+def _note_out(batch: Batch, name: str) -> Batch:
+    return batch.put(OUT + name.encode(), b"{}")
+
+
+def _note_back(batch: Batch, name: str, at: float) -> Batch:
+    return batch.put(BACK + name.encode(), ujson.dumps({"at": at}).encode(), int(at + REMEMBERED * 1000.0))
+
+
 def _key_of(operation: Operation) -> str:
     """The name under which a client repeats a job: its key, else the request's own id."""
     return operation.payload.one(b"idempotency-key") or operation.id
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -328,7 +328,7 @@
         log.info("detached destination=%s", name)
         kept = self.keeper is None or await self.keeper.taken_out(name)
         await self._agree({"out": name})
-        return Reply(200, b"detached\n" if kept else b"detached" + NOT_KEPT)
+        return _done(b"detached", kept)
 
     async def _attach(self, name: str) -> Reply:
         at = time.time() * 1000.0
@@ -337,19 +337,19 @@
         log.info("attached destination=%s", name)
         kept = self.keeper is None or await self.keeper.put_back(name, at)
         await self._agree({"back": name, "at": at})
-        return Reply(200, b"attached\n" if kept else b"attached" + NOT_KEPT)
+        return _done(b"attached", kept)
 
     async def _lameduck_on(self) -> Reply:
         self._set_lame(True)
         kept = self.keeper is None or await self.keeper.lame(True)
         await self._agree({"lame": True})
-        return Reply(200, b"draining\n" if kept else b"draining" + NOT_KEPT)
+        return _done(b"draining", kept)
 
     async def _lameduck_off(self) -> Reply:
         self._set_lame(False)
         kept = self.keeper is None or await self.keeper.lame(False)
         await self._agree({"lame": False})
-        return Reply(200, b"serving\n" if kept else b"serving" + NOT_KEPT)
+        return _done(b"serving", kept)
 
     def _set_lame(self, on: bool) -> None:
         if on != self.lame:
@@ -479,6 +479,11 @@
         return Reply(200, b"up\n")
 
 
+def _done(what: bytes, kept: bool) -> Reply:
+    """The answer to an operators' call, which holds whether it is on disk or not."""
+    return Reply(200, what + (b"\n" if kept else NOT_KEPT))
+
+
 def _parts(sockets: int) -> tuple[int, int]:
     """How many of so many descriptors may be clients and destinations."""
     return int((sockets - SPARE) * CLIENT_PART), int((sockets - SPARE) * DESTINATION_PART)
--- a/yewrill/tracing/tracer.py
+++ b/yewrill/tracing/tracer.py
@@ -73,11 +73,13 @@
         self._open.discard(trace)
         self.counts["finished"] += 1
         found = trace.context
-        if not self._may_be_kept(trace) and found.random < self._limit and not found.sampled:
+        late = self._is_late(trace)
+        ordinary = trace.answer == "served" and len(trace.attempts) <= 1 and not late
+        if ordinary and found.random < self._limit and not found.sampled:
             self.counts["thinned"] += 1  # the common way out, without building anything
             return None
         record = trace.as_dict(self._clock(), self._offset)
-        record["late"] = self._is_late(trace)
+        record["late"] = late
         asked = found.sampled and self._allowance.take(self._clock())
         kept = sampling.keep(record, found.random, self._limit, asked)
         if not kept:
@@ -93,10 +95,6 @@
         self.on_kept()
         return record
 
-    def _may_be_kept(self, trace: OperationTrace) -> bool:
-        """Whether it is bad, told from the marks alone."""
-        return trace.answer != "served" or len(trace.attempts) > 1 or self._is_late(trace)
-
     def _is_late(self, trace: OperationTrace) -> bool:
         if trace.answer != "served" or not trace.attempts:
             return False
