Ask a discovery that turns calls away ever more rarely, each dispatcher at its own time

A probe of the watch showed discovery in `ask` mode answer 503, at once when its queue was full, else after exactly 2.0 s: every call waited in vain, also at 5 calls a second for the whole fleet, because calls given up after 1.1 s still took their turn.

At fault: poolconfig.Watch._follow asked again 0.1 s after any failure (RETRY), took a 503 for nonsense and so asked for the whole list each time, and gave a plain call up after 1 s.

Now the pause after a 503 or 429 is at random within 0.3 s times the number of dispatchers, longer each time, the list known stands and changes are asked for, and a plain call waits 3 s.

--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -69,6 +69,7 @@
     until: float  # when to stop waiting
     trace: Any = None  # where tracing is on: told of every moment
     sent: float = 0.0
+    began: float = 0.0  # when its start was told
     withdrawn: Ending | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -127,6 +128,7 @@
         self._live: dict[str, RouteStep] = {}  # steps that are out, those of closed operations too
         self._count = 0
         self._wake = trio.Event()
+        self._counting = log.isEnabledFor(logging.DEBUG)  # a line for each step and each refusal
 
     # -- time
 
@@ -196,8 +198,15 @@
         elapsed = self.now() - step.sent if step.sent else 0.0
         self._put(api.AttemptEnded(operation.key, step.number, step.destination, ending.outcome, elapsed,
                                    operation.closed, worn=ending.worn))
+        if self._counting:
+            waited = step.began - step.sent if step.began else -1.0
+            log.debug("step destination=%s ending=%s class=%d attempt=%d width=%g sent=%.0f waited=%.0f "
+                      "ran=%.0f", step.destination, ending.name, operation.job_class, step.number,
+                      operation.width, self._wall_base + (step.sent or self.now()), waited,
+                      elapsed - max(0.0, waited))
 
     def started(self, step: RouteStep) -> None:
+        step.began = self.now()
         if step.trace is not None:
             step.trace.started = trio.current_time()
         self._put(api.AttemptStarted(step.operation.key, step.number, step.destination))
@@ -236,6 +245,10 @@
     def pool_config(self, destinations: Iterable[Destination], *, full: bool, cached: bool = False) -> None:
         """What discovery tells."""
         form = api.LIST_CACHED if cached else api.LIST_FULL if full else api.LIST_CHANGES
+        destinations = list(destinations)
+        if self._counting:
+            log.debug("list form=%s %s", form, " ".join(
+                f"{d.id}:{d.state}:{d.started_ms:.0f}" for d in destinations))
         self._put(api.WorkerList(form, [
             api.WorkerEntry(d.id, d.zone, d.kind, d.cell, d.state, d.weight, self._launched(d.started_ms))
             for d in destinations
@@ -332,6 +345,8 @@
             if operation is None or operation.closed:
                 return
             self._close(operation)
+            if self._counting:
+                log.debug("no class=%d tries=%d why=%s", operation.job_class, operation.steps, action.why)
             if operation.live is not None:
                 operation.live.withdraw(Ending.TIMED_OUT)
             self._choose(operation, BusyReply(action.retry_after, action.why) if kind is api.Refuse
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -24,8 +25,12 @@
 MOST_OUT = 10_000  # destinations taken out by hand
 REMEMBERED = 60.0  # seconds for which an heir is told that a destination was put back
 HOLD_MS = 5000  # short, so that a watch that has silently broken is noticed before it matters
-PATIENCE = 1.0  # seconds past the hold (or for a plain call) before discovery counts as silent
+PATIENCE = 1.0  # seconds past the hold before discovery counts as silent
+WHOLE_PATIENCE = 3.0  # seconds for a plain call: given up early, it still takes its turn in discovery's queue
 RETRY = 0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
+# One that turns calls away has too many of them: those of a whole fleet at once. So they spread, each
+# dispatcher's at random over as many of these seconds as there are dispatchers, and grow rarer.
+TURNED_AWAY, RARER, MOST_PAUSE = 0.3, 1.5, 30.0
 MOST = 4 * 1024 * 1024  # a list of some ten thousand destinations
 
 
@@ -132,12 +137,24 @@
             self._decisions.pool_config(map(self._laid_over, destinations), full=full, cached=cached)
 
 
+class TurnedAway(Exception):
+    """Discovery has not taken the call. It says nothing against what is known of the list."""
+
+
+def pause_after(refusals: int, dispatchers: int, chance: float) -> float:
+    """Seconds until discovery is asked again that has turned away a call, after so many others in a row;
+    `chance` from 0 to 1. A fleet that asked again at once would keep a queue full in which all fail."""
+    return RETRY + chance * min(MOST_PAUSE, TURNED_AWAY * dispatchers * RARER**refusals)
+
+
 class Watch:
     """Keeps the pool config fresh for good, whether discovery is silent, gone, talks nonsense or moves."""
 
-    def __init__(self, address: tuple[str, int], pool: PoolConfig):
+    def __init__(self, address: tuple[str, int], pool: PoolConfig, seed: int = 0, dispatchers: int = 1):
         self.address = address
+        self.dispatchers = dispatchers
         self._pool = pool
+        self._rng = random.Random(seed)
         self._scope = trio.CancelScope()
         self.heard = trio.Event()  # discovery has told something
 
@@ -158,40 +175,49 @@
         side: ClientSide | None = None
         whole = True  # the list known before may be old: begin with all of it
         quiet = False
+        refusals = 0  # in a row
         try:
             while True:
+                pause = RETRY
                 try:
-                    with trio.fail_after(PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
+                    with trio.fail_after(WHOLE_PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
                         if side is None:
                             side = ClientSide(await Connection.open(address, ring=65536))
                         target = PATH if whole else f"{PATH}?from={pool.version}&hold_ms={HOLD_MS}"
                         await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
                         response = await side.response()
                         body = await side.body(MOST)
+                    if response.status_code in (429, 503):
+                        raise TurnedAway(f"status {response.status_code}")
                     if response.status_code != 200:
                         raise ConfigError(f"discovery: status {response.status_code}")
                     answer = ujson.loads(body)
                     pool.apply(answer)
                     self.heard.set()
                     whole = False
+                    refusals = 0
                     if quiet:
                         log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
                         quiet = False
                     if not side.settled():
                         side.connection.close()
                         side = None
-                except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError,
+                except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError, TurnedAway,
                         trio.TooSlowError) as error:
                     if not quiet:
                         log.warning("discovery-lost version=%d: %s %s", pool.version,
                                     type(error).__name__, error)
                         quiet = True
-                    if isinstance(error, (ConfigError, ValueError)):
+                    if isinstance(error, TurnedAway):
+                        pause = pause_after(refusals, self.dispatchers, self._rng.random())
+                        refusals = min(refusals + 1, 10)
+                        whole = whole and not len(pool)
+                    elif isinstance(error, (ConfigError, ValueError)):
                         whole = True  # nonsense among the changes: only the whole list can be trusted again
                     if side is not None:
                         side.connection.close()
                         side = None
-                    await trio.sleep(RETRY)
+                    await trio.sleep(pause)
         finally:
             if side is not None:
                 side.connection.close()
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -68,7 +68,7 @@
         self.pool = PoolConfig(self.decisions, config.places)
         self._open: set[str] = set()  # ids of operations under way, those of clients that have left too
         self.nursery: trio.Nursery
-        self.watch = Watch(config.discovery, self.pool)
+        self.watch = Watch(config.discovery, self.pool, config.seed, config.settings.dispatchers)
         self.figures = Figures()
         self.figures.know(c.name for c in config.settings.classes)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
@@ -172,6 +172,7 @@
         self.decisions.retune(taken.settings)
         self.figures.know(c.name for c in taken.settings.classes)
         self.pool.places = taken.places
+        self.watch.dispatchers = taken.settings.dispatchers
         self.destinations.retune(taken.connect_timeout_ms / 1000.0, taken.idle_close_ms / 1000.0)
         self.watch.move(taken.discovery)
         self.figures.reloaded(True)
