Give each dispatcher of a large fleet a window of the workers to use first

Now a window in the ring of ids by the dispatcher's number, each worker in about six windows, whoever has room once these are full; the cold budget goes to those in whose window the worker is; run times on cold workers count by their warmth; 'full' in a row doubles the pause. Up to six dispatchers the window is the whole fleet, as before.

--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,190 @@
+"""A fleet in virtual time: many instances of the module before many workers, in one seeded loop.
+
+It knows the least that shows harm in sum: workers of a few slots that start jobs in the order in which they
+came (wide ones too, at the head until they fit), start notices, cold workers, lists that come late, replaced
+workers and dispatchers that are killed. Times in milliseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from heapq import heappop, heappush
+from itertools import count
+
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
+
+TRIP = 0.5  # one way between a dispatcher and a worker
+# share, mean run time, chances of 1, 2 and 4 slots, aim, stretch, worth
+CLASSES = {
+    "short": (0.49, 215.0, (1.0, 0.0, 0.0), 120.0, 1.75, 1.0),
+    "day": (0.30, 425.0, (0.6, 0.25, 0.15), 100.0, 2.5, 5.0),
+    "pass": (0.12, 850.0, (0.6, 0.25, 0.15), 200.0, 1.75, 5.0),
+    "save": (0.09, 105.0, (0.8, 0.2, 0.0), 80.0, 2.0, 3.0),
+}
+WORK = sum(share * run * (w[0] + 2 * w[1] + 4 * w[2]) for share, run, w, *_ in CLASSES.values())
+
+
+class Job:
+    def __init__(self, name, cls, arrived, run, need, deadline):
+        self.name, self.cls, self.arrived, self.run, self.need = name, cls, arrived, run, need
+        self.deadline = deadline
+        self.attempts = 0
+        self.state = ""
+
+
+class Host:
+    """One worker."""
+
+    def __init__(self, name, slots, speed, launched=0.0, slow=1.0):
+        self.name, self.slots, self.speed, self.launched, self.slow = name, slots, speed, launched, slow
+        self.free = float(slots)
+        self.queue = deque()
+        self.gone = False
+        self.cold_work: list[tuple[float, float]] = []  # when and how much was sent while it was cold
+
+
+class World:
+    def __init__(self, seed, dispatchers=40, workers=60, slots=5, load=0.72, **settings):
+        self.rng = random.Random(seed)
+        self.number = count()
+        self.now = 1_000_000.0
+        self.heap = []
+        self.slots, self.load = slots, load
+        self.settings = dict(
+            classes=[api.JobClass(n, aim=c[3], deadline=5000.0, worth=c[5], stretch=c[4])
+                     for n, c in CLASSES.items()],
+            dispatchers=dispatchers, tells_start=True, fifo=True, worth_by_work=True, max_attempts=6,
+            progress_every=1000.0, cold_multiple=3.0, cold_window=3000.0, start_capacity=0.31,
+            warm_after=6200.0, tick=2.0, max_retry_after=2000.0, marks_retry=True) | settings
+        self.hosts = {}
+        for _ in range(workers):
+            self.add_host()
+        self.modules: list[Dispatcher | None] = []
+        for i in range(dispatchers):
+            self.modules.append(None)
+            self.start(i)
+        self.rate = load * workers * slots / WORK
+        self.answers = Counter()
+        self.starts = Counter()  # how long jobs waited at a worker: at once or not
+        self.used: list[set[str]] = [set() for _ in range(dispatchers)]
+        self.jobs = {}
+        self.asked = self.got = 0.0
+        self.next_arrival()
+
+    def add_host(self, launched=0.0, slow=1.0):
+        host = Host(f"s-{self.rng.getrandbits(32):08x}", self.slots, self.rng.gauss(1.0, 0.1), launched, slow)
+        self.hosts[host.name] = host
+        return host
+
+    def entry(self, host, state=api.RUNNING):
+        return api.WorkerEntry(host.name, state=state, launched=host.launched)
+
+    def start(self, i):
+        self.modules[i] = Dispatcher(Settings(index=i, **self.settings), self.rng.getrandbits(64))
+        self.tell(i, [api.WorkerList(
+            api.LIST_CACHED, [self.entry(h) for h in self.hosts.values() if not h.gone])])
+
+    def at(self, when, what, *args):
+        heappush(self.heap, (when, next(self.number), what, args))
+
+    def tell_all(self, entries, spread=50.0):
+        """Changes of the list, at a moment of its own at each dispatcher."""
+        for i in range(len(self.modules)):
+            self.at(self.now + self.rng.random() * spread, self.tell, i,
+                    [api.WorkerList(api.LIST_CHANGES, list(entries))])
+
+    def run(self, span):
+        end = self.now + span
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, what, args = heappop(self.heap)
+            what(*args)
+        self.now = end
+        return self
+
+    def next_arrival(self):
+        self.at(self.now + self.rng.expovariate(self.rate), self.arrive)
+
+    def arrive(self):
+        self.next_arrival()
+        up = [i for i, m in enumerate(self.modules) if m is not None]
+        i = up[int(self.rng.random() * len(up))]
+        name = f"j{next(self.number)}"
+        cls = self.rng.choices(range(len(CLASSES)), [c[0] for c in CLASSES.values()])[0]
+        _, mean, widths, aim, stretch, worth = list(CLASSES.values())[cls]
+        run = mean * self.rng.lognormvariate(-0.8, 1.265)  # cv 2
+        need = self.rng.choices((1, 2, 4), widths)[0]
+        job = self.jobs[name] = Job(name, cls, self.now, run, need, self.now + 5000.0)
+        self.asked += worth * run * need
+        self.tell(i, [api.JobArrived(name, cls, job.deadline, 0, float(need))])
+
+    def tell(self, i, events):
+        module = self.modules[i]
+        if module is None:
+            return
+        for action in module.handle(self.now, events):
+            kind = type(action)
+            if kind is api.SetTimer:
+                self.at(self.now + max(2.0, action.delay), self.timer, i, module, action.token)
+            elif kind is api.Send:
+                job = self.jobs[action.job]
+                number, job.attempts = job.attempts, job.attempts + 1
+                self.used[i].add(action.worker)
+                self.at(self.now + TRIP, self.reach, i, module, job, number, action.worker)
+            elif kind in (api.Refuse, api.Fail):
+                self.answers[kind.__name__] += 1
+            elif kind is api.Cancel:
+                self.back(i, module, self.jobs[action.job], action.attempt, "", api.CANCELLED)
+
+    def timer(self, i, module, token):
+        if self.modules[i] is module:
+            self.tell(i, [api.TimerFired(token)])
+
+    def reach(self, i, module, job, number, name):
+        host = self.hosts[name]
+        if host.gone:
+            self.at(self.now + TRIP, self.back, i, module, job, number, name, api.NO_CONNECTION)
+            return
+        if host.launched:
+            host.cold_work.append((self.now, job.run * job.need))
+        host.queue.append((i, module, job, number, self.now))
+        self.fill(host)
+
+    def fill(self, host):
+        while host.queue and host.queue[0][2].need <= host.free:
+            i, module, job, number, came = host.queue.popleft()
+            host.free -= job.need
+            self.starts["at once" if self.now - came < 1.0 else "waited"] += 1
+            warm = min(1.0, 0.31 + 0.69 * (self.now - host.launched) / 6200.0) if host.launched else 1.0
+            run = job.run * host.slow / (host.speed * warm)
+            self.at(self.now + TRIP, self.event, i, module, api.AttemptStarted(job.name, number, host.name))
+            for second in range(1, int(run // 1000) + 1):
+                self.at(self.now + TRIP + 1000.0 * second, self.event, i, module,
+                        api.AttemptProgress(job.name, number, host.name, 0.5))
+            self.at(self.now + run, self.finish, host, i, module, job, number, came)
+
+    def event(self, i, module, event):
+        if self.modules[i] is module:
+            self.tell(i, [event])
+
+    def finish(self, host, i, module, job, number, came):
+        host.free += job.need
+        self.fill(host)
+        self.at(self.now + TRIP, self.back, i, module, job, number, host.name, api.SERVED)
+
+    def back(self, i, module, job, number, name, outcome):
+        if self.modules[i] is not module:
+            return
+        if outcome == api.SERVED:
+            aim, stretch, worth = list(CLASSES.values())[job.cls][3:]
+            timely = self.now - job.arrived <= aim + stretch * job.run
+            self.answers["timely" if timely else "late"] += 1
+            if timely:
+                self.got += worth * job.run * job.need
+        self.tell(i, [api.AttemptEnded(job.name, number, name, outcome, self.now - job.arrived,
+                                       outcome == api.SERVED)])
+
+    @property
+    def worth(self):
+        return self.got / self.asked
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,13 +1,79 @@
 """What is harmless at one dispatcher and harmful when all of a large fleet do it."""
 
 import random
+from collections import Counter
 
 import pytest
+from fleet_world import World
 from helper import Peer, done, story, world
 
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
 from yewrill.net.poolconfig import pause_after
 
 
+def windows(dispatchers, names):
+    """What each dispatcher uses first, and its part of each of these."""
+    found = []
+    for i in range(dispatchers):
+        job_class = api.JobClass("c", 500.0, 5000.0)
+        d = Dispatcher(Settings(classes=[job_class], dispatchers=dispatchers, index=i), i)
+        d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(n) for n in names])])
+        found.append({w.name: w.part for w in d.mine[-1]})
+    return found
+
+
+@pytest.mark.parametrize("dispatchers,workers", [
+    (1, 10), (2, 14), (3, 20), (7, 7), (40, 60), (40, 10), (60, 1)])
+def test_windows_cover_every_worker_evenly_and_their_parts_of_it_make_one(dispatchers, workers):
+    rng = random.Random(dispatchers * workers)
+    names = [f"s-{rng.getrandbits(32):08x}" for _ in range(workers)]
+    found = windows(dispatchers, rng.sample(names, workers))
+    sharers = Counter(name for window in found for name in window)
+    assert set(sharers) == set(names) and max(sharers.values()) - min(sharers.values()) <= 2
+    if dispatchers <= 6:
+        assert all(len(window) == workers for window in found)
+    elif workers > 10:
+        assert max(sharers.values()) <= 8
+    # All dispatchers together keep to one cold budget, a third over it at most where windows part unevenly.
+    for name in names:
+        assert 0.66 <= sum(window.get(name, 0.0) for window in found) <= 1.34
+    # One worker less changes little of what each dispatcher knows.
+    for before, after in zip(found, windows(dispatchers, names[1:]), strict=True):
+        assert len(set(after) - set(before)) <= 2
+
+
+def test_a_worker_gone_bad_costs_few_of_many_dispatchers_their_jobs():
+    # Found on fleet days: each of 40 dispatchers lost a job or two to each bad worker before it knew.
+    world = World(5, load=0.6)
+    bad = next(iter(world.hosts.values()))
+    bad.slow = 40.0
+    world.run(8000.0)
+    hurt = sum(bad.name in used for used in world.used)
+    assert hurt <= 15, "nearly all 40 without windows"
+    # And a dispatcher's jobs go where it knows its way: few workers each, all of them by somebody.
+    assert sum(map(len, world.used)) / 40 < 20 and len(set().union(*world.used)) == 60
+
+
+def test_workers_that_replace_others_are_used_soon_and_not_pushed_over_by_all_together():
+    # Found on fleet days: each of 40 had a budget below one job; new workers stood idle while old ones jammed.
+    world = World(3, load=0.6)
+    world.run(4000.0)
+    old = list(world.hosts.values())[:20]
+    new = [world.add_host(launched=world.now) for _ in old]
+    world.tell_all([world.entry(h) for h in new])
+    world.run(500.0)
+    world.tell_all([world.entry(h, api.DRAINING) for h in old])
+    world.run(6000.0)
+    warm = [0.31 + 0.69 * k / 62 for k in range(62)]
+    for host in new:
+        for start in range(0, 5000, 500):  # the rule: 3 times what it can do, in any 3 s
+            sent = sum(work for at, work in host.cold_work if 0 <= at - host.launched - start < 3000)
+            assert sent <= 3.0 * 3000 * 5 * warm[start // 100] + 4 * 5000, host.name
+    took = sum(work for host in new for at, work in host.cold_work if at - host.launched < 6200)
+    assert took >= 0.35 * 20 * 5 * 6200 * 0.65, "the part of what cold ones can do that was used"
+
+
 @pytest.mark.parametrize("dispatchers", [1, 40])
 def test_a_fleet_that_discovery_turned_away_asks_again_spread_out_and_ever_more_rarely(dispatchers):
     # Found on fleet days: all asked again after 0.1 s, each waited in vain in a full queue, nobody heard.
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field, fields, replace
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
@@ -248,8 +248,7 @@
         _number(tenant.get("quota_per_s", 0.0), f"{at}.quota_per_s")
         _number(tenant.get("share", 1.0), f"{at}.share", 0.0, 1.0)
     try:
-        # The core keeps one live attempt an operation, whatever the deployment would allow.
-        return replace(decode_settings(raw), second_copies=False)
+        return decode_settings(raw)
     except WireError as error:
         raise ConfigError(f"settings: {error}") from None
     except (TypeError, AttributeError) as error:
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -47,6 +47,8 @@
 OWED = 1500.0  # a worker back from operators' hands gets a job by then, even one that will be late
 OWED_AGAIN = 500.0  # and another one after this time without a sign of life
 KNOWN = 6  # run times seen of a class before its mean tells anything of a worker's speed
+SHARERS = 6  # so many dispatchers use a worker first, where there are more
+LEAST_OWN = 6  # and a dispatcher so many workers
 COLD_SAFETY = 0.5  # the part of the cold budget that is used
 
 
@@ -59,7 +61,7 @@
     __slots__ = (
         "id", "cls", "spec", "most", "tenant", "need", "run", "known", "due", "wanted", "deadline", "over",
         "tries", "live", "held", "done", "ran_at", "ran_zone", "ran_cell", "last", "asked", "arrived", "seq",
-        "hedged", "hinted", "why",
+        "hinted", "why",
     )
 
     def __init__(self, event: api.JobArrived, cls: ClassState, now: float, run: float, rules: api.Settings):
@@ -86,7 +88,6 @@
         self.live: dict[int, Attempt] = {}
         self.held = False
         self.done = False
-        self.hedged = False
         self.hinted = event.hint > 0
         self.why = ""  # it was not sent when it was last looked at
         # Send time of the first attempt that may have run, -1: none may have. One before a restart counts.
@@ -298,7 +299,7 @@
         "name", "zone", "kind", "cell", "kind_no", "usable", "listed", "launched", "cold_from", "credit",
         "credit_at", "inflight", "free", "free_at", "cap", "unstarted", "waiting_since", "ratio", "seen",
         "slow", "slow_at", "errors", "errors_at", "blocked", "fails", "probing", "sent_at", "fresh",
-        "running", "queue", "refused", "owed",
+        "running", "queue", "refused", "owed", "part", "fulls",
     )
 
     def __init__(self, entry: api.WorkerEntry, kind: Kind):
@@ -331,9 +332,11 @@
         self.errors_at = 0.0
         self.blocked = 0.0  # nothing is sent before this time
         self.fails = 0
+        self.fulls = 0  # times in a row that it sent a job back, without a sign of work between
         self.probing = False
         self.sent_at = -1e18
         self.fresh = False
+        self.part = 1.0  # the part of it that is ours; 0: others have it, and we only what they leave
         self.owed = -1.0  # since when it has been back from operators' hands without a sign of life
 
 
@@ -342,7 +345,7 @@
 
 class Attempt:
     __slots__ = ("job", "number", "worker", "sent", "started", "counted", "expected", "order", "heard",
-                 "overtaken", "silent")
+                 "overtaken", "silent", "warm")
 
     def __init__(self, job: Job, number: int, worker: Worker, now: float, expected: float, order: int):
         self.order = order
@@ -353,6 +356,7 @@
         self.started = 0.0
         self.counted = True  # in worker.unstarted
         self.expected = expected
+        self.warm = 1.0  # the part of its capacity its worker had at least
         self.heard = now  # when it last said something
         self.overtaken = 0.0  # when a later attempt at the same worker was first seen to start
         self.silent = False  # given up for its silence
@@ -387,6 +391,7 @@
         self.workers: dict[str, Worker] = {}
         self.near: dict[int, list[Worker]] = {kind: [] for kind in pools}
         self.far: dict[int, list[Worker]] = {kind: [] for kind in pools}
+        self.mine: dict[int, list[Worker]] = {kind: [] for kind in pools}  # of the near ones
         self.fresh: list[Worker] = []
         self.owed: list[Worker] = []
         self.jobs: dict[str, Job] = {}
@@ -715,14 +720,18 @@
         for w in self.fresh + self.owed if self.owed else self.fresh:
             if (kind < 0 or w.kind_no == kind) and (cross or w.zone == zone):
                 candidates.append(w)
-        rng = self.rng.random
-        for group in ((near, far) if cross else (near,)):
-            size = len(group)
-            if size <= SAMPLE:
-                candidates.extend(group)
-            else:
-                for _ in range(SAMPLE):
-                    candidates.append(group[int(rng() * size)])
+        mine = self.mine[kind]
+        candidates += self._some(mine) + (self._some(far) if cross else [])
+        best = self._best(job, now, need, candidates, used)
+        if best is None and len(mine) < len(near):  # ours have no room: whoever has
+            best = self._best(job, now, need, self._some([w for w in near if w.part <= 0.0]), used)
+        return best
+
+    def _some(self, group: list[Worker]) -> list[Worker]:
+        return group if len(group) <= SAMPLE else self.rng.choices(group, k=SAMPLE)
+
+    def _best(self, job: Job, now: float, need: float, candidates: list[Worker],
+              used: float) -> Worker | None:
         best = None
         best_finish = 1e18
         why = "no worker"
@@ -799,6 +808,7 @@
         w.sent_at = now
         if w.cold_from >= 0:
             w.credit -= job.run * job.need
+            attempt.warm = self._warmth(w, now)
         self.out.append(api.Send(job.id, w.name, 0.0, self.among, job.why))
 
     # ----------------------------------------------------------------------------------------------- workers
@@ -842,8 +852,26 @@
                 for pool in (-1, w.kind_no):
                     if pool in side:
                         side[pool].append(w)
+        self._share_out()
         self.stirred = True
 
+    def _share_out(self) -> None:
+        """Which workers this dispatcher uses first: in a ring sorted by ids, a window placed evenly by its
+        number, such that each worker is in about SHARERS windows. So few dispatchers soon know how a worker
+        fares that is theirs, and one gone bad costs few of them a job."""
+        n = self.settings.dispatchers
+        for w in self.workers.values():
+            w.part = 0.0 if w.zone == self.settings.zone else 1.0 / n
+        for pool, side in self.near.items():
+            size = len(side)
+            width = min(size, max(LEAST_OWN, -(-size * SHARERS // n)))
+            if width < size:
+                side.sort(key=lambda w: w.name)
+            low = self.settings.index % n * size // n
+            self.mine[pool] = [side[(low + i) % size] for i in range(width)] if width < size else side
+            for w in self.mine[pool]:
+                w.part = size / (n * width)
+
     def _entry(self, entry: api.WorkerEntry, cached: bool) -> None:
         w = self.workers.get(entry.worker)
         if w is None:
@@ -900,7 +928,7 @@
     def _cold_room(self, w: Worker, job: Job, now: float, warm: float) -> bool:
         """Whether this dispatcher's part of a cold worker's budget has room for the job's work."""
         s = self.settings
-        rate = s.cold_multiple * warm * w.kind.slots * COLD_SAFETY / s.dispatchers
+        rate = s.cold_multiple * warm * w.kind.slots * COLD_SAFETY * w.part
         w.credit = min(w.credit + (now - w.credit_at) * rate, max(rate * s.cold_window, job.run * job.need))
         w.credit_at = now
         return w.credit >= job.run * job.need
@@ -1031,6 +1059,7 @@
                 if w.listed and (not w.usable or (w.fails and w.blocked > now))}
 
     def _alive(self, w: Worker) -> None:
+        w.fulls = 0
         if w.owed >= 0:
             w.owed = -1.0
             self.owed.remove(w)
@@ -1114,7 +1143,8 @@
             w.cap = max(1.0, w.inflight)
             w.free = min(w.free, 0.0)
             w.free_at = now
-            w.blocked = max(w.blocked, now + job.run / w.kind.slots)
+            w.fulls = min(w.fulls + 1, 6)
+            w.blocked = max(w.blocked, now + job.run / w.kind.slots * 2.0 ** (w.fulls - 1))
         elif event.worn:
             pass  # that tells of the connection only
         elif outcome == api.NO_CONNECTION:
@@ -1129,14 +1159,14 @@
         if outcome not in api.NEVER_RAN and job.ran_at < 0:
             # Once set, this stands: a later attempt that never ran proves nothing of an earlier one.
             job.ran_at, job.ran_zone, job.ran_cell = attempt.sent, w.zone, w.cell
-        if not job.done and not job.live and not job.held:  # a held one already waits for its second copy
+        if not job.done and not job.live:
             job.last = w
             self._again(job)
 
     def _served(self, attempt: Attempt, w: Worker, elapsed: float) -> None:
         now = self.now
         job = attempt.job
-        run = now - attempt.started if attempt.started else elapsed
+        run = (now - attempt.started if attempt.started else elapsed) * attempt.warm
         cls = job.cls
         ratio = min(20.0, run / max(1.0, job.run))
         cls.observe(run, job.run, job.hinted)
@@ -1244,7 +1274,7 @@
             self.stirred = True
 
     def _sweep(self) -> None:
-        """Look over the attempts that are out: one overdue without news may be given a second copy."""
+        """Look over the attempts that are out: lost ones are called back, slow workers marked."""
         now = self.now
         s = self.settings
         for attempt in self.attempts.values():
@@ -1258,22 +1288,6 @@
                 if run > 3.0 * attempt.expected and run / job.run > w.slow:
                     w.slow = min(20.0, run / job.run)
                     w.slow_at = now
-            if job.done or job.held or job.hedged or not s.second_copies:
-                continue
-            if job.spec.effect != api.SAFE or job.tries >= min(job.most, s.max_attempts):
-                continue
-            quiet = now - (attempt.started or attempt.sent)
-            patience = 3.0 * attempt.expected if attempt.started else 0.5 * job.run + 2.0 * MISSING
-            if quiet > patience and job.deadline - now > job.run:
-                job.hedged = True
-                job.last = w
-                if now < job.due:
-                    self._hold(job)
-                elif job.cls.late_pays and self._idle() >= LATE_IDLE and self.controller.gapped == 0:
-                    self.count += 1
-                    job.held = True
-                    insort(self.late, (job.deadline, self.count, job))
-                    self.stirred = True
 
     def _is_silent(self, attempt: Attempt, now: float) -> bool:
         """Whether an attempt is past the time at which its worker should have said something of it."""
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -74,6 +74,7 @@
     kinds: int = 1
     zone: int = 0
     dispatchers: int = 1
+    index: int = 0  # this one's number among them, from 0
     over_share_worth: float = 1.0
     worth_by_work: bool = False  # worth counts for each unit of work, not for each job
     list_on_request: bool = False  # the worker list must be asked for
@@ -85,7 +86,6 @@
     may_probe: bool = False
     may_cancel: bool = False
     fifo: bool = False  # workers start waiting jobs strictly in the order in which they came
-    second_copies: bool = False
     marks_retry: bool = False  # clients mark their retries
     max_attempts: int = 1
     max_retry_after: float = 0.0  # 0: clients take no advice
