--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,7 +56,7 @@
 
 
 def test_workers_that_replace_others_are_used_soon_and_not_pushed_over_by_all_together():
-    # Found on fleet days: each of 40 had a budget below one job; new workers stood idle while old ones jammed.
+    # Found on fleet days: each of 40 had a budget below one job; new workers idled while old ones jammed.
     world = World(3, load=0.6)
     world.run(4000.0)
     old = list(world.hosts.values())[:20]
