--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -47,7 +47,7 @@
 OWED = 1500.0  # a worker back from operators' hands gets a job by then, even one that will be late
 OWED_AGAIN = 500.0  # and another one after this time without a sign of life
 KNOWN = 6  # run times seen of a class before its mean tells anything of a worker's speed
-SHARERS = 6  # so many dispatchers use a worker first, where there are more
+SHARERS = 4  # so many dispatchers use a worker first, where there are more
 LEAST_OWN = 6  # and a dispatcher so many workers
 COLD_SAFETY = 0.5  # the part of the cold budget that is used
 
