Check the number and count of dispatchers; without a number, place the window by the seed

Settings with `instances` or `index` that are not whole numbers were taken (2.5) or refused without their key ("of the wrong shape"), and one file copied to forty places without `index` would have had all forty at the same six workers. Now both are refused by their key, and a missing number is replaced by the seed's place in the ring. Tests: values that make no sense, lists of 0, 1 and 5,000 entries, a list that shrinks to none.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,13 +5,47 @@
 
 import pytest
 from fleet_world import World
-from helper import Peer, done, story, world
+from helper import SETTINGS, Peer, done, story, world
 
 from yewrill import Dispatcher, Settings
 from yewrill import interface as api
+from yewrill.config import ConfigError, read_settings
 from yewrill.net.poolconfig import pause_after
 
 
+@pytest.mark.parametrize("key", ["instances", "index"])
+@pytest.mark.parametrize("value", [-1, 1.5, "3", True, None, [], float("nan"), float("inf")])
+def test_a_number_or_count_of_dispatchers_that_makes_no_sense_is_refused_by_its_key(key, value):
+    with pytest.raises(ConfigError, match=f"^settings.{key}: "):
+        read_settings({**SETTINGS, key: value})
+
+
+@pytest.mark.parametrize("entries", [0, 1, 5000])
+@pytest.mark.parametrize("index", [-1, 0, 39, 400])
+def test_no_dispatcher_has_a_share_of_nothing_and_a_list_may_shrink_to_none(entries, index):
+    d = Dispatcher(Settings(classes=[api.JobClass("c", 500.0, 5000.0)], dispatchers=40, index=index), 7)
+    whole = [api.WorkerEntry(f"w{i % 4999}") for i in range(entries)]  # one of 5,000 is there twice
+    d.handle(0.0, [api.WorkerList(api.LIST_FULL, whole)])
+    out = d.handle(1.0, [api.JobArrived("a", 0, 5001.0)])
+    assert sum(type(action) is api.Send for action in out) == min(1, entries)
+    assert len(d.mine[-1]) >= min(entries, 6)
+    d.handle(2.0, [api.WorkerList(api.LIST_FULL, [])])
+    out = d.handle(3.0, [api.JobArrived("b", 0, 5003.0)])
+    assert not d.mine[-1] and not any(type(action) is api.Send for action in out)
+    out = d.handle(4.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w9999")])])
+    assert [a.worker for a in out if type(a) is api.Send][:1] == ["w9999"]
+
+
+def test_dispatchers_without_a_number_do_not_all_take_the_same_window():
+    # One configuration copied to forty places would have all of them at six workers.
+    firsts = set()
+    for seed in range(40):
+        d = Dispatcher(Settings(classes=[api.JobClass("c", 500.0, 5000.0)], dispatchers=40), seed)
+        d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i:02d}") for i in range(60)])])
+        firsts.add(d.mine[-1][0].name)
+    assert len(firsts) > 20
+
+
 def windows(dispatchers, names):
     """What each dispatcher uses first, and its part of each of these."""
     found = []
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -205,7 +205,7 @@
     ("limits.idle_close", 0.0, False), ("limits.max_retry_after", 0.0, True),
     ("rules.answer_slack", 0.0, True), ("rules.fall", 0.0, True), ("rules.fall_multiple", 0.0, False),
     ("rules.start_capacity", 0.0, False), ("rules.warm_after", 0.0, True),
-    ("rules.stop_sending_within", 0.0, True), ("tick", 0.0, False), ("instances", 1.0, True),
+    ("rules.stop_sending_within", 0.0, True), ("tick", 0.0, False),
     ("over_share_worth", 0.0, True), ("specifics.progress", 0.0, True),
 )
 
@@ -225,6 +225,8 @@
             _number(at, f"settings.{path}", low, open_low=not closed)
     for name, value in raw.get("fees", {}).items():
         _number(value, f"settings.fees.{name}")
+    _whole(raw.get("instances", 1), "settings.instances", 1)
+    _whole(raw.get("index", 0), "settings.index")
     if not raw.get("request_classes"):
         raise ConfigError("settings.request_classes: at least one class is needed")
     names: set[str] = set()
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -378,6 +378,7 @@
                 raise ValueError(f"class {spec.name!r} needs machine kind {spec.kind}, which is not listed")
         self.settings = settings
         self.rng = random.Random(seed)
+        self.place = random.Random(seed).random()  # of our window, where the settings give us no number
         self.now = 0.0
         self.out: list[api.Action] = []
         self.classes = [ClassState(spec, i) for i, spec in enumerate(settings.classes)]
@@ -867,7 +868,8 @@
             width = min(size, max(LEAST_OWN, -(-size * SHARERS // n)))
             if width < size:
                 side.sort(key=lambda w: w.name)
-            low = self.settings.index % n * size // n
+            index = self.settings.index
+            low = index % n * size // n if index >= 0 else int(self.place * size)
             self.mine[pool] = [side[(low + i) % size] for i in range(width)] if width < size else side
             for w in self.mine[pool]:
                 w.part = size / (n * width)
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -74,7 +74,7 @@
     kinds: int = 1
     zone: int = 0
     dispatchers: int = 1
-    index: int = 0  # this one's number among them, from 0
+    index: int = -1  # this one's number among them, from 0; -1: not told
     over_share_worth: float = 1.0
     worth_by_work: bool = False  # worth counts for each unit of work, not for each job
     list_on_request: bool = False  # the worker list must be asked for
--- a/yewrill/wire.py
+++ b/yewrill/wire.py
@@ -84,7 +84,7 @@
         kinds=max(1, len(config.get("kinds", ()))),
         zone=config.get("zone", 0),
         dispatchers=max(1, config.get("instances", 1)),
-        index=max(0, config.get("index", 0)),
+        index=config.get("index", -1),
         worth_by_work=config.get("counted_by", "request") == "work",
         over_share_worth=config.get("over_share_worth", 1.0),
         list_on_request=config.get("registry_mode", "push") == "ask",
