Keep the workers outside the window as a list instead of seeking them at each choice

_choose went over all near workers whenever the window had no room: at 5,000 workers 0.2 ms a job that waits.

--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -392,7 +392,8 @@
         self.workers: dict[str, Worker] = {}
         self.near: dict[int, list[Worker]] = {kind: [] for kind in pools}
         self.far: dict[int, list[Worker]] = {kind: [] for kind in pools}
-        self.mine: dict[int, list[Worker]] = {kind: [] for kind in pools}  # of the near ones
+        self.mine: dict[int, list[Worker]] = {kind: [] for kind in pools}  # of the near ones, ours first
+        self.rest: dict[int, list[Worker]] = {kind: [] for kind in pools}  # and the others
         self.fresh: list[Worker] = []
         self.owed: list[Worker] = []
         self.jobs: dict[str, Job] = {}
@@ -416,7 +417,6 @@
         self.held_armed = False
         self.end_armed = -1.0
         self.stirred = False
-        self.subscribed = False
         # Without load reports, start notices alone tell how many slots a worker has.
         self.slots_by_starts = settings.tells_start and not settings.report_fields
         if self.slots_by_starts:
@@ -721,11 +721,10 @@
         for w in self.fresh + self.owed if self.owed else self.fresh:
             if (kind < 0 or w.kind_no == kind) and (cross or w.zone == zone):
                 candidates.append(w)
-        mine = self.mine[kind]
-        candidates += self._some(mine) + (self._some(far) if cross else [])
+        candidates += self._some(self.mine[kind]) + (self._some(far) if cross else [])
         best = self._best(job, now, need, candidates, used)
-        if best is None and len(mine) < len(near):  # ours have no room: whoever has
-            best = self._best(job, now, need, self._some([w for w in near if w.part <= 0.0]), used)
+        if best is None and self.rest[kind]:  # ours have no room: whoever has
+            best = self._best(job, now, need, self._some(self.rest[kind]), used)
         return best
 
     def _some(self, group: list[Worker]) -> list[Worker]:
@@ -870,7 +869,8 @@
                 side.sort(key=lambda w: w.name)
             index = self.settings.index
             low = index % n * size // n if index >= 0 else int(self.place * size)
-            self.mine[pool] = [side[(low + i) % size] for i in range(width)] if width < size else side
+            ring = side[low:] + side[:low]
+            self.mine[pool], self.rest[pool] = (ring[:width], ring[width:]) if width < size else (side, [])
             for w in self.mine[pool]:
                 w.part = size / (n * width)
 
