Give no part in a cold worker to dispatchers outside its window, of whatever zone

Seen on reading: where crossing zones costs nothing, workers of other zones stand in `near` too, but _share_out gave those outside the window a part of one over the dispatchers, because it looked at the zone: together with the windows' own parts nearly twice the cold budget, all of the safety that COLD_SAFETY leaves. The test with two zones fails without it (3 cases).

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -52,7 +52,10 @@
     for i in range(dispatchers):
         job_class = api.JobClass("c", 500.0, 5000.0)
         d = Dispatcher(Settings(classes=[job_class], dispatchers=dispatchers, index=i), i)
-        d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(n) for n in names])])
+        # Where crossing zones costs nothing, those of another zone are as near as ours.
+        entries = [api.WorkerEntry(n, zone=int(n[-1], 16) % 2) for n in names]
+        d.handle(0.0, [api.WorkerList(api.LIST_FULL, entries)])
+        assert {w.name for w in d.mine[-1]} == {w.name for w in d.workers.values() if w.part > 0.0}
         found.append({w.name: w.part for w in d.mine[-1]})
     return found
 
--- a/yewrill/decide.py
+++ b/yewrill/decide.py
@@ -709,11 +709,10 @@
         slack = job.due - now
         whole = max(1.0, job.due - job.arrived)
         used = 1.0 - slack / whole
-        near = self.near[kind]
         far = self.far[kind]
         candidates = []
         zone = self.settings.zone
-        cross = not near
+        cross = not self.near[kind]
         if far and not cross and self.cross_fee >= 0:
             # Crossing zones costs a fee; it pays once so much of the slack is used up.
             gain = job.spec.worth * (1.0 - job.spec.late_worth)
@@ -861,7 +860,7 @@
         fares that is theirs, and one gone bad costs few of them a job."""
         n = self.settings.dispatchers
         for w in self.workers.values():
-            w.part = 0.0 if w.zone == self.settings.zone else 1.0 / n
+            w.part = 1.0 / n  # of far ones; near ones follow
         for pool, side in self.near.items():
             size = len(side)
             width = min(size, max(LEAST_OWN, -(-size * SHARERS // n)))
@@ -871,6 +870,8 @@
             low = index % n * size // n if index >= 0 else int(self.place * size)
             ring = side[low:] + side[:low]
             self.mine[pool], self.rest[pool] = (ring[:width], ring[width:]) if width < size else (side, [])
+            for w in side:
+                w.part = 0.0
             for w in self.mine[pool]:
                 w.part = size / (n * width)
 
