--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -21,6 +21,7 @@
 import json
 import os
 import signal
+import socket
 import statistics
 import subprocess
 import sys
@@ -122,7 +123,8 @@
                                      "started_ms": 0})
             listeners = await nursery.start(partial(trio.serve_tcp, self._discovery, 0, host="127.0.0.1"))
             discovery = listeners[0].socket.getsockname()[1]
-            with socket_port() as listen, tempfile.TemporaryDirectory() as scratch:
+            listen = free_port()
+            with tempfile.TemporaryDirectory() as scratch:
                 config = Path(scratch) / "config.json"
                 config.write_text(json.dumps({
                     "name": "n7", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}",
@@ -166,18 +168,11 @@
                 await stream.receive_some()
 
 
-class socket_port:
-    """A free loopback port, for the dispatcher to listen on."""
-
-    def __enter__(self) -> int:
-        import socket
-
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
-
-    def __exit__(self, *_: object) -> None:
-        return None
+def free_port() -> int:
+    """A loopback port that nobody listens on now, for the dispatcher."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
 
 
 def main() -> None:
