Hear of a change within 6 s of when discovery could be reached, whatever failed before

Cause, by reading and then by tests: between two chances to hear of a change there could be more than the 6 s after which it counts as told. Lines at fault, all in net/poolconfig.py: pause_after (30 s at 200 dispatchers from the first refusal on), HOLD_MS 5000 with PATIENCE 1.0 (a silent watch given up after exactly 6 s, its list asked for after that), Connection.open without a bound of its own (a SYN swallowed took the whole call). Two more were found beside: after a move by SIGHUP to a discovery that turns the first call away, changes were asked for by the old discovery's version; and a discovery that counts anew was asked for what is newer than a version that it would not reach for long.

Ruled out by tests that passed before too: half answers, nonsense, other statuses, resets, an indented list, a whole list after changes, silence at the first call of a process, SIGHUP to a dead address and back.

Change: hold 4 s and 0.8 s of patience; a refusal is followed within 2.8 s; a call after a failure is answered or given up within 3 s, with a hold of 1 s; 0.5 s for a connection. Where discovery is asked, any second failure in a row is spread over the fleet as refusals are, since an overrun one may also reset (pushed lists come from an agent of our own: asked again after 0.1 s).

--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -24,13 +24,20 @@
 PATH = "/discovery/hosts"
 MOST_OUT = 10_000  # destinations taken out by hand
 REMEMBERED = 60.0  # seconds for which an heir is told that a destination was put back
-HOLD_MS = 5000  # short, so that a watch that has silently broken is noticed before it matters
-PATIENCE = 1.0  # seconds past the hold before discovery counts as silent
-WHOLE_PATIENCE = 3.0  # seconds for a plain call: given up early, it still takes its turn in discovery's queue
+# A change counts as told 6 s after discovery had it and could be reached, whatever befell the calls before.
+# So between two chances to hear of it there is never more than that: a watch that has fallen silent is given
+# up after HOLD_MS and PATIENCE, one turned away is asked again within RETRY and MOST_PAUSE, and the call that
+# follows any such end is answered or given up within ANEW.
+HOLD_MS = 4000
+PATIENCE = 0.8  # seconds past the hold before discovery counts as silent
+ANEW = 3.0  # seconds for such a call: given up early, it still takes its turn in discovery's queue
+ANEW_HOLD_MS = 1000  # it is answered soon with or without news, so that contact is known to be there
+CONNECT = 0.5  # seconds for a connection to come up: a SYN that was swallowed is sent again late, 1 s on
 RETRY = 0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
 # One that turns calls away has too many of them: those of a whole fleet at once. So they spread, each
-# dispatcher's at random over as many of these seconds as there are dispatchers, and grow rarer.
-TURNED_AWAY, RARER, MOST_PAUSE = 0.3, 1.5, 30.0
+# dispatcher's at random over as many of these seconds as there are callers, and grow rarer. One that many
+# call may end what it has no time for by a reset too: there only the first pause in a row is short.
+TURNED_AWAY, RARER, MOST_PAUSE = 0.3, 1.5, 2.7
 MOST = 4 * 1024 * 1024  # a list of some ten thousand destinations
 
 
@@ -141,19 +148,21 @@
     """Discovery has not taken the call. It says nothing against what is known of the list."""
 
 
-def pause_after(refusals: int, dispatchers: int, chance: float) -> float:
-    """Seconds until discovery is asked again that has turned away a call, after so many others in a row;
-    `chance` from 0 to 1. A fleet that asked again at once would keep a queue full in which all fail."""
-    return RETRY + chance * min(MOST_PAUSE, TURNED_AWAY * dispatchers * RARER**refusals)
+def pause_after(failures: int, callers: int, chance: float) -> float:
+    """Seconds until a discovery that so many dispatchers call is asked again, after a call that failed and so
+    many others before it in a row; `chance` from 0 to 1. A fleet that asked again at once would keep a queue
+    full in which all fail."""
+    return RETRY + chance * min(MOST_PAUSE, TURNED_AWAY * callers * RARER**failures)
 
 
 class Watch:
     """Keeps the pool config fresh for good, whether discovery is silent, gone, talks nonsense or moves."""
 
-    def __init__(self, address: tuple[str, int], pool: PoolConfig, seed: int = 0, dispatchers: int = 1):
+    def __init__(self, address: tuple[str, int], pool: PoolConfig, seed: int = 0, callers: int = 1):
         self.address = address
-        self.dispatchers = dispatchers
+        self.callers = callers  # how many dispatchers call this discovery, ours among them
         self._pool = pool
+        self._counted_by = address  # whose versions the list's is one of
         self._rng = random.Random(seed)
         self._scope = trio.CancelScope()
         self.heard = trio.Event()  # discovery has told something
@@ -174,28 +183,23 @@
         pool = self._pool
         side: ClientSide | None = None
         whole = True  # the list known before may be old: begin with all of it
+        anew = True  # the call before did not get its answer
         quiet = False
-        refusals = 0  # in a row
+        failures = 0  # in a row
         try:
             while True:
                 pause = RETRY
                 try:
-                    with trio.fail_after(WHOLE_PATIENCE if whole else HOLD_MS / 1000.0 + PATIENCE):
+                    with trio.fail_after(ANEW if anew else HOLD_MS / 1000.0 + PATIENCE):
                         if side is None:
-                            side = ClientSide(await Connection.open(address, ring=65536))
-                        target = PATH if whole else f"{PATH}?from={pool.version}&hold_ms={HOLD_MS}"
-                        await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
-                        response = await side.response()
-                        body = await side.body(MOST)
-                    if response.status_code in (429, 503):
-                        raise TurnedAway(f"status {response.status_code}")
-                    if response.status_code != 200:
-                        raise ConfigError(f"discovery: status {response.status_code}")
-                    answer = ujson.loads(body)
-                    pool.apply(answer)
+                            with trio.fail_after(CONNECT):
+                                side = ClientSide(await Connection.open(address, ring=65536))
+                        response, body = await self._call(side, whole, ANEW_HOLD_MS if anew else HOLD_MS)
+                    self._take(response, body, whole)
+                    self._counted_by = address
                     self.heard.set()
-                    whole = False
-                    refusals = 0
+                    whole = anew = False
+                    failures = 0
                     if quiet:
                         log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
                         quiet = False
@@ -204,14 +208,16 @@
                         side = None
                 except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError, TurnedAway,
                         trio.TooSlowError) as error:
+                    anew = True
                     if not quiet:
                         log.warning("discovery-lost version=%d: %s %s", pool.version,
                                     type(error).__name__, error)
                         quiet = True
+                    if isinstance(error, TurnedAway) or (failures and self.callers > 1):
+                        pause = pause_after(failures, self.callers, self._rng.random())
+                    failures = min(failures + 1, 10)
                     if isinstance(error, TurnedAway):
-                        pause = pause_after(refusals, self.dispatchers, self._rng.random())
-                        refusals = min(refusals + 1, 10)
-                        whole = whole and not len(pool)
+                        whole = whole and not (len(pool) and self._counted_by == address)
                     elif isinstance(error, (ConfigError, ValueError)):
                         whole = True  # nonsense among the changes: only the whole list can be trusted again
                     if side is not None:
@@ -221,3 +227,24 @@
         finally:
             if side is not None:
                 side.connection.close()
+
+    async def _call(self, side: ClientSide, whole: bool, hold: int) -> tuple[h11.Response, bytes]:
+        """Ask for the whole list, or for changes that may take so many milliseconds to come."""
+        target = PATH if whole else f"{PATH}?from={self._pool.version}&hold_ms={hold}"
+        await side.connection.send(side.encode("GET", target, [("Host", "discovery")]))
+        response = await side.response()
+        return response, await side.body(MOST)
+
+    def _take(self, response: h11.Response, body: bytes, whole: bool) -> None:
+        """Take an answer to the list, or raise what it is instead of one."""
+        if response.status_code in (429, 503):
+            raise TurnedAway(f"status {response.status_code}")
+        if response.status_code != 200:
+            raise ConfigError(f"discovery: status {response.status_code}")
+        answer = ujson.loads(body)
+        known = self._pool.version
+        if not whole and isinstance(answer, dict) and not answer.get("full") \
+                and isinstance(version := answer.get("version"), int) and version < known:
+            # It counts anew, so it would not tell of a change until it had counted up to where we are.
+            raise ConfigError(f"discovery.version: {version}, after {known}")
+        self._pool.apply(answer)
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -71,7 +71,7 @@
         self.pool = PoolConfig(self.decisions, config.places)
         self._open: set[str] = set()  # ids of operations under way, those of clients that have left too
         self.nursery: trio.Nursery
-        self.watch = Watch(config.discovery, self.pool, config.seed, config.settings.dispatchers)
+        self.watch = Watch(config.discovery, self.pool, config.seed, _callers(config))
         self.figures = Figures()
         self.figures.know(c.name for c in config.settings.classes)
         self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
@@ -181,7 +181,7 @@
         self.decisions.retune(taken.settings)
         self.figures.know(c.name for c in taken.settings.classes)
         self.pool.places = taken.places
-        self.watch.dispatchers = taken.settings.dispatchers
+        self.watch.callers = _callers(taken)
         self.destinations.retune(taken.connect_timeout_ms / 1000.0, taken.idle_close_ms / 1000.0)
         self.watch.move(taken.discovery)
         self.figures.reloaded(True)
@@ -508,6 +508,11 @@
     return Reply(200, what + (b"\n" if kept else NOT_KEPT))
 
 
+def _callers(config: Config) -> int:
+    """How many call the same discovery: all dispatchers where it is asked, we alone where it is pushed."""
+    return config.settings.dispatchers if config.settings.list_on_request else 1
+
+
 def _parts(sockets: int) -> tuple[int, int]:
     """How many of so many descriptors may be clients and destinations."""
     return int((sockets - SPARE) * CLIENT_PART), int((sockets - SPARE) * DESTINATION_PART)
