Discovery: a story of idle clients that fill the descriptors while it is down

The real program under the system's own bound (128), 160 idle connections, half of them kept after a job: a new client's job is served, /up answers, the change is heard at discovery's return and the next job follows it, nobody is left hanging, and no attempt lacks a descriptor.

Seen to fail with `_evict` taken out: the new client waits in the backlog.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,8 @@
 import pytest
 import trio
 import ujson
-from helper import SETTINGS, Discovery, Peer, done, timed_story, world
+from helper import SETTINGS, Client, Discovery, Peer, done, story, timed_story, world
+from test_state import program
 
 from yewrill.config import Places, read_settings
 from yewrill.facade import Decisions
@@ -258,3 +259,47 @@
     for second in range(20):
         assert sum(second <= at < second + 1 for at in calls) <= a_second
     assert poolconfig.RETRY + poolconfig.HOLD_MS / 1000.0 + poolconfig.PATIENCE + poolconfig.CONNECT < TOLD
+
+
+@story
+async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out(tmp_path):
+    # The real program under the system's own bound, with more idle connections than it has descriptors:
+    # half of them kept after a job, half that never said a word.
+    peers = [Peer("d1", done), Peer("d2", done)]
+    async with trio.open_nursery() as nursery:
+        for peer in peers:
+            await nursery.start(peer.serve)
+        discovery = Discovery(peers[:1])
+        config = tmp_path / "config.json"
+        config.write_text(ujson.dumps({
+            "listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS,
+            "limits": {"sockets": 128}}))
+        async with program(nursery, config, descriptors=128) as running:
+            while (await running.ask("/up", "GET", b"")).status != 200:
+                await trio.sleep(0.01)
+            well, discovery.peer.script = discovery.peer.script, reset
+            discovery.tell(peers[0].entry())
+            await running.said("discovery-lost")
+            place = await running.said(r" ready .*listen=([\d.]+):(\d+)")
+            idle = []
+            for i in range(160):
+                idle.append(Client(await trio.open_tcp_stream(place[1], int(place[2]))))
+                if i % 2:
+                    assert (await idle[-1].ask(X_Request_ID=f"i{i}")).status == 200
+            assert (await running.ask(X_Request_ID="amid")).status == 200
+            assert (await running.ask("/up", "GET", b"")).status == 200
+            # Discovery is back with a change: it is heard, and the next job goes where it says.
+            discovery.peer.script = well
+            discovery.peers = peers
+            discovery.tell(drains(peers[0]), peers[1].entry())
+            await running.said("discovery-back")
+            while (await running.ask(X_Request_ID=f"after{len(peers[1].exchanges)}")).status != 200:
+                await trio.sleep(0.01)
+            assert peers[1].exchanges
+            # None is left hanging: whoever had to give way was told so by the end of its connection.
+            for client in idle:
+                if client.stream.socket.is_readable():
+                    assert await client.stream.receive_some() == b""
+                await client.stream.aclose()
+            assert not any("sockets-short" in line for line in running.lines)
+        nursery.cancel_scope.cancel()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -58,8 +58,10 @@
 
 
 @asynccontextmanager
-async def program(nursery: trio.Nursery, path):
+async def program(nursery: trio.Nursery, path, descriptors: int = 0):
     command = [sys.executable, "-m", "yewrill", "serve", "--config", str(path)]
+    if descriptors:  # the system's own bound on them
+        command = ["sh", "-c", f'ulimit -n {descriptors} && exec "$@"', "sh", *command]
     process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE)
     running = Program(process)
     nursery.start_soon(running.read)
