Clients: an attempt's last look is at the client's socket, not only at what was read of it

Cause: `DestinationPool._try` looked at `operation.client_left`, which is set when the reader's task has read the end. In a burst of leaves, or when a client closes as a connection comes up or a kept one is taken, that task has not had its turn yet: the attempt went out. Ruled out: a late report by the system (the end lies in the socket: a poll shows it at once); the module choosing for a client that has left (it does not: `left` reports such a choice as not sent). At fault: net/destinations.py, `_try`, the condition before the first byte. Change: an operation may carry `has_left`, a fresh look that the service sets to the client's own. It polls the socket for its end (POLLRDHUP), which shows also behind unread bytes; core and facade know no sockets. A client found gone has left for everyone at once. Result: six stories of a closing client, held, in a retry's pause, in a burst of 200, at a new and at a kept connection, on both fronts.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,192 @@
+"""Endings that cross something else in the same instant: each crossing is forced, none is hoped for.
+
+A hook at a seam (an opened connection, a look, a close) has the peer act exactly there. What no hook
+reaches is told by a scripted peer and the service's own calls between two turns of the loop.
+"""
+
+import pytest
+import trio
+from helper import SETTINGS, Client, Peer, done, story, world
+
+from yewrill.net.connection import Connection
+from yewrill.net.destinations import DestinationPool
+
+# Time enough for a job to be held for as long as a story needs.
+ROOMY = {"request_classes": [{**c, "aim": 8000.0, "deadline": 16000.0} for c in SETTINGS["request_classes"]]}
+LONG = {"X_Timeout_Ms": "15000"}  # every request's: one with less than another is taken for its retry
+FRONTS = pytest.mark.parametrize("front", ["platform", "progress"])
+
+# -- a client that has gone
+
+
+def sent_for(peers, id="r1"):
+    """How many attempts for an id reached any of the peers whole."""
+    return sum(e.id == id for p in peers for e in p.exchanges)
+
+
+def hang_up(client: Client) -> None:
+    """Close at once, between two turns of the loop: the end lies in the system, unread."""
+    client.stream.socket.close()
+
+
+@story
+async def test_a_client_that_closes_as_the_workers_connection_comes_up_has_nothing_sent(monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        client, real, opened = await w.client(), Connection.open, []
+
+        async def opens(*args):
+            connection = await real(*args)
+            if not opened:
+                hang_up(client)  # no turn of the loop lies between this and the last look
+            opened.append(connection)
+            return connection
+
+        monkeypatch.setattr(Connection, "open", opens)
+        await client.send(**LONG)
+        await w.until(lambda: opened and not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer])
+        assert len(opened) == 1  # the connection that came up is kept for the next one
+
+
+def as_a_line_is_taken(monkeypatch, act) -> list[str]:
+    """Have something happen as an attempt begins, with no turn of the loop up to its last look. Returns the
+    workers for whom attempts have begun."""
+    real, begun = DestinationPool._take, []
+
+    def takes(pool, destination):
+        begun.append(destination.id)
+        if len(begun) == 1:
+            act()
+        return real(pool, destination)
+
+    monkeypatch.setattr(DestinationPool, "_take", takes)
+    return begun
+
+
+@story
+async def test_a_client_that_closes_as_a_kept_connection_is_taken_has_nothing_sent(monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+        client = await w.client()
+        begun = as_a_line_is_taken(monkeypatch, lambda: hang_up(client))
+        await client.send(**LONG)
+        await w.until(lambda: begun and not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer]) and peer.connections == 1
+
+
+class Gate:
+    """Which worker the module chooses: the one named here, or none, so that every job is held."""
+
+    def __init__(self, w, monkeypatch):
+        self.decisions = w.service.decisions
+        self.module = self.decisions._module
+        self.worker = ""
+        monkeypatch.setattr(self.module.choice, "worker_for",
+                            lambda job, need: self.module.fleet.workers.get(self.worker))
+        monkeypatch.setattr(self.module.admission, "admit", lambda job, now: "")
+
+    @property
+    def held(self) -> int:
+        return sum(map(len, self.module.held.values()))
+
+    def open(self, worker: str) -> None:
+        """Have every held job sent there at once, without a turn of the loop."""
+        self.worker = worker
+        self.module.stirred = True
+        self.decisions.share_out({})  # any event will do
+        self.decisions.tick()
+
+
+async def keep_connections(w, gate: Gate, peer: Peer, count: int) -> None:
+    """So many idle connections to a worker: an attempt on one of them goes out without any wait."""
+    together = trio.Event()
+
+    async def waits_for_all(exchange):
+        if len(peer.exchanges) == count:
+            together.set()
+        await together.wait()
+        await exchange.done()
+
+    peer.script, gate.worker = waits_for_all, peer.name
+    async with trio.open_nursery() as nursery:
+        for i in range(count):
+            nursery.start_soon(lambda i=i: w.ask(X_Request_ID=f"kept{i}", **LONG))
+    await w.until(lambda: len(w.service.destinations._idle.get(peer.name, ())) == count)
+    peer.script, gate.worker = done, ""
+
+
+async def asking(w, count: int) -> list[Client]:
+    clients = [await w.client() for _ in range(count)]
+    for i, client in enumerate(clients):
+        await client.send(X_Request_ID=f"left{i}", **LONG)
+    return clients
+
+
+def left_ones(peer: Peer) -> list[str]:
+    return [e.id for e in peer.exchanges if e.id.startswith("left")]
+
+
+@FRONTS
+@story
+async def test_two_hundred_that_leave_at_once_while_held_have_nothing_sent(front, monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        await keep_connections(w, gate, peer, 60)
+        clients = await asking(w, 200)
+        await w.until(lambda: gate.held == 200)
+        as_a_line_is_taken(monkeypatch, lambda: [hang_up(client) for client in clients])
+        gate.open("d1")  # all their attempts begin in one turn, with their ends unread
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(peer) == []
+
+
+@FRONTS
+@story
+async def test_clients_that_leave_in_their_retrys_pause_have_no_second_attempt(front, monkeypatch):
+    async def dies(exchange):
+        exchange.reset()
+
+    first, second = Peer("d1", dies), Peer("d2", done)
+    async with world(first, second, front=front, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        await keep_connections(w, gate, second, 20)
+        clients = await asking(w, 20)
+        await w.until(lambda: gate.held == 20)
+        gate.open("d1")
+        gate.worker = ""
+        await w.until(lambda: len(first.exchanges) == 20 and gate.held == 20)
+        as_a_line_is_taken(monkeypatch, lambda: [hang_up(client) for client in clients])
+        gate.open("d2")
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(second) == []
+
+
+@FRONTS
+@story
+async def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent(front, monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        client, real, opening, go_on = await w.client(), Connection.open, trio.Event(), trio.Event()
+
+        async def opens(*args):
+            opening.set()
+            await go_on.wait()
+            return await real(*args)
+
+        monkeypatch.setattr(Connection, "open", opens)
+        await client.send(**LONG)
+        await opening.wait()
+        hang_up(client)
+        left = next(iter(w.service.listener.clients))
+        await w.until(lambda: left.gone)
+        go_on.set()
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer]) and peer.connections == 1  # the one that came up is kept
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -51,6 +51,7 @@
     ran_zone: int = -1
     ran_cell: int = -1
     on_progress: Callable[[RouteStep, float], None] | None = None
+    has_left: Callable[[], bool] | None = None  # a fresh look whether its client has gone
     trace: Any = None
     # The facade's own.
     key: str = ""
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -113,6 +114,14 @@
         except OSError:
             return Quiet.ENDED
 
+    def ended(self) -> bool:
+        """Whether the peer has closed or reset by now, also where that still lies behind unread bytes."""
+        if self.closed:
+            return True
+        poll = select.poll()  # not select(), which knows no descriptor over 1023
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -14,7 +14,7 @@
 
 from yewrill import loadreport
 from yewrill.ending import Ending
-from yewrill.facade import Decisions, Destination, RouteStep
+from yewrill.facade import Decisions, Destination, Operation, RouteStep
 from yewrill.net.connection import NO_DESCRIPTORS, Connection, Quiet
 from yewrill.net.http import ClientSide, PeerEnded
 from yewrill.net.poolconfig import PoolConfig
@@ -77,6 +77,10 @@
     kept: bool = False  # it has carried an exchange before
 
 
+def _client_gone(operation: Operation) -> bool:
+    return operation.client_left or (operation.has_left is not None and operation.has_left())
+
+
 class DestinationPool:
     def __init__(self, decisions: Decisions, pool: PoolConfig, codec: DestinationCodec, *,
                  most: int, connect_timeout: float, idle_limit: float):
@@ -152,8 +156,8 @@
         keep = False
         try:
             # Opening took time: the last look before the first byte.
-            if step.operation.client_left or self._decisions.now() >= step.until \
-                    or not self._pool.may_send(step.destination):
+            if self._decisions.now() >= step.until or not self._pool.may_send(step.destination) \
+                    or _client_gone(step.operation):
                 keep = True
                 return Ending.NOT_SENT, None
             step.sent = self._decisions.now()
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -67,6 +67,12 @@
         """Whether it has sent on before its answer, which clients of the protocol don't."""
         return bool(len(self.connection.inbound) or self.http.parser.trailing_data[0].strip())
 
+    def has_left(self) -> bool:
+        """A look at the socket itself: in a burst of ends, this one's may not have been read yet."""
+        if not self.gone and self.connection.ended():
+            self.leave()
+        return self.gone
+
     def leave(self) -> None:
         """The client has gone away, or is being let go."""
         if not self.gone:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -434,6 +434,7 @@
             self.decisions.take(operation)
             job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
+            operation.has_left = client.has_left
             try:
                 async with client.watched(self.nursery):
                     if operation.trace is not None:
