Clients: the end of one that has filled its ring ahead of its answer is seen

Cause: `Client._read_ahead` stopped once the 8 KiB ring was full, so such a client's end was never read: its job was sent, and sent again, for nobody. Ruled out: the poll of the last look alone (an end behind a full receive window has not arrived, only reading brings it: with the poll and no reading the case of an orderly close behind much fails on the platform front). At fault: net/listener.py, `_read_ahead`, `while ... inbound.room`. Change: past a full ring the client is polled for its end, and a bounded part of what it sends (64 KiB at most) is read into one scratch buffer shared by all, every 20 ms, and more rarely when many do so (2,500 reads a second in all at most). Nothing can be read of such a connection afterwards, so it closes after its answer, also when the ring filled while the answer was being written. One that sends for ever costs one read a pause, no memory, and has its answer.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,12 +4,18 @@
 reaches is told by a scripted peer and the service's own calls between two turns of the loop.
 """
 
+import socket
+import struct
+from contextlib import suppress
+
 import pytest
 import trio
 from helper import SETTINGS, Client, Peer, done, story, world
 
-from yewrill.net.connection import Connection
+from yewrill.net import listener
+from yewrill.net.connection import RING, Connection
 from yewrill.net.destinations import DestinationPool
+from yewrill.net.listener import Client as Served
 
 # Time enough for a job to be held for as long as a story needs.
 ROOMY = {"request_classes": [{**c, "aim": 8000.0, "deadline": 16000.0} for c in SETTINGS["request_classes"]]}
@@ -35,8 +41,8 @@
     async with world(peer, settings=ROOMY) as w:
         client, real, opened = await w.client(), Connection.open, []
 
-        async def opens(*args):
-            connection = await real(*args)
+        async def opens(*args, **kwargs):
+            connection = await real(*args, **kwargs)
             if not opened:
                 hang_up(client)  # no turn of the loop lies between this and the last look
             opened.append(connection)
@@ -175,10 +181,10 @@
     async with world(peer, front=front, settings=ROOMY) as w:
         client, real, opening, go_on = await w.client(), Connection.open, trio.Event(), trio.Event()
 
-        async def opens(*args):
+        async def opens(*args, **kwargs):
             opening.set()
             await go_on.wait()
-            return await real(*args)
+            return await real(*args, **kwargs)
 
         monkeypatch.setattr(Connection, "open", opens)
         await client.send(**LONG)
@@ -190,3 +196,69 @@
         await w.until(lambda: not w.service.listener.clients)
         assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
         assert not sent_for([peer]) and peer.connections == 1  # the one that came up is kept
+
+
+def reset(client: Client) -> None:
+    client.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    hang_up(client)
+
+
+def send_all_that_goes(client: Client) -> None:
+    """Fill every buffer on the way, so that an end lies behind bytes that are not even there yet."""
+    with suppress(BlockingIOError):
+        while True:
+            client.stream.socket._sock.send(b"x" * 65536)
+
+
+@pytest.mark.parametrize("much", [False, True])
+@pytest.mark.parametrize("leave", [hang_up, reset])
+@FRONTS
+@story
+async def test_the_end_of_a_client_that_has_filled_its_ring_is_seen(front, leave, much, monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        [client] = await asking(w, 1)
+        await w.until(lambda: gate.held == 1)
+        [left] = w.service.listener.clients
+        operation = left.operation
+        await client.stream.send_all(b"x" * 9000)
+        await w.until(lambda: not left.connection.inbound.room)
+        if much:
+            send_all_that_goes(client)
+        leave(client)
+        await w.until(lambda: not w.service.listener.clients)
+        assert operation.client_left and not Served.overrunning
+        gate.open("d1")
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(peer) == []
+
+
+@story
+async def test_a_client_that_sends_for_ever_is_read_at_a_bounded_pace_and_has_its_answer(monkeypatch):
+    reads = []
+    real = Connection.drop_now
+
+    def counted(connection):
+        reads.append(real(connection))
+        return reads[-1]
+
+    monkeypatch.setattr(Connection, "drop_now", counted)
+    monkeypatch.setattr(listener, "OVERRUN_SHARE", 1e9)  # so that the pause after the first read has no end
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        [client] = await asking(w, 1)
+        await w.until(lambda: gate.held == 1)
+        await client.stream.send_all(b"x" * 9000)
+        await w.until(lambda: Served.overrunning == 1)
+        send_all_that_goes(client)
+        [sender] = w.service.listener.clients
+        sender._drop_some()
+        assert len(reads) == 1 and reads[0] <= 65536  # however much there is
+        assert len(sender.connection.inbound) == RING
+        gate.open("d1")
+        reply = await client.reply()
+        assert (reply.status, reply.headers["connection"]) == (200, "close")
+        assert len(reads) == 1  # none but ours: the pause had no end
+        await client.stream.aclose()
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -14,6 +14,7 @@
 from yewrill.net.ring import RingBuffer
 
 RING = 8192
+_SCRATCH = bytearray(64 * 1024)  # where bytes go that nobody wants; shared, for nobody reads it
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -81,6 +82,15 @@
         self.inbound.filled(count)
         return count
 
+    def drop_now(self) -> int | None:
+        """Read and forget a bounded part of what has come: how much, 0 at the end; None if nothing has."""
+        if self.closed:
+            raise OSError("connection closed here")
+        try:
+            return self.sock.recv_into(_SCRATCH)
+        except (BlockingIOError, InterruptedError):
+            return None
+
     async def receive(self) -> bytes:
         """The next bytes, empty at the end of the stream."""
         if not len(self.inbound):
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -28,11 +28,16 @@
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
 PART_TIME = 0.2  # seconds for a client to take its last reply and close
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
+# Seconds between two reads from a client whose ring is full, and at least so many for each such client there
+# is: what it sends is dropped at this pace, only so that its end is seen.
+OVERRUN_PAUSE, OVERRUN_SHARE = 0.02, 0.0004
 
 
 class Client:
     """A client's connection, read ahead while an operation is under way, so that its end is seen."""
 
+    overrunning = 0  # of all clients: those whose ring is full
+
     def __init__(self, connection: Connection):
         self.connection = connection
         self.http = ServerSide()
@@ -40,19 +45,39 @@
         self.on_left: Callable[[Operation], None] = lambda operation: None
         self.gone = False
         self.answering = False  # a whole request is under way
+        self.overrun = False  # part of what it sent ahead has been dropped: nothing after can be read
         self.proven = False  # an operation of its has been carried
         self.since = self.opened = trio.current_time()  # since when it has nothing under way
         self.first_byte = 0.0
 
     async def _read_ahead(self, scope: trio.CancelScope, ended: trio.Event) -> None:
-        """A full ring is left alone: its owner is off the protocol."""
         try:
             with scope:
                 while not self.gone and self.connection.inbound.room:
                     await self._fill()
+                await self._watch_overrun()
         finally:
             ended.set()
 
+    async def _watch_overrun(self) -> None:
+        """A client that fills its ring ahead of its answer is off the protocol, but its end still counts."""
+        Client.overrunning += 1
+        try:
+            while not self.gone:
+                await trio.sleep(max(OVERRUN_PAUSE, OVERRUN_SHARE * Client.overrunning))
+                self._drop_some()
+        finally:
+            Client.overrunning -= 1
+
+    def _drop_some(self) -> None:
+        self.overrun = True
+        try:
+            # The end may lie behind more than one read takes; behind a full window only reading brings it.
+            if self.connection.ended() or self.connection.drop_now() == 0:
+                self.leave()
+        except OSError:
+            self.leave()
+
     async def _fill(self) -> None:
         try:
             if not await self.connection.fill():
@@ -355,7 +380,7 @@
                 return
             if client.gone:
                 return
-            if not go_on or not client.http.reusable:
+            if not go_on or not client.http.reusable or client.overrun:
                 await self._part(client)
                 return
             client.next_cycle()
