Attempts: one that is half written when its client leaves never becomes whole

Cause: `Decisions.left` closed the operation but let its attempt run on, also one whose last byte had not gone out (a worker that does not read, a body up to 64 KiB): it reached the worker later, for nobody. At fault: facade.py, `left`; net/destinations.py, `attempt`, where one given up while it was written was the worker's fault; net/connection.py, `send`, which went on after a cancelled wait. Change: `RouteStep.written` tells of the last byte. `left` withdraws a step that has begun and is not written; its connection is closed, not kept, and its end is `NOT_SENT`, which blames nobody. Attempts written whole run on, connections that come up are kept, as before.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -262,3 +262,104 @@
         assert (reply.status, reply.headers["connection"]) == (200, "close")
         assert len(reads) == 1  # none but ours: the pause had no end
         await client.stream.aclose()
+
+
+class Reluctant(Peer):
+    """A worker that reads nothing until it is told to, and takes little in the meantime."""
+
+    async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        self.reads, self.ended = trio.Event(), trio.Event()
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners[0].socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._converse, listeners, task_status=task_status)
+
+    async def _converse(self, stream: trio.SocketStream) -> None:
+        await self.reads.wait()
+        await super()._converse(stream)
+        self.ended.set()
+
+
+def open_with_little_room(monkeypatch) -> list[Connection]:
+    """Have connections to workers take little before they are read. Returns those opened."""
+    real, opened = Connection.open, []
+
+    async def opens(*args, **kwargs):
+        connection = await real(*args, **kwargs)
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        opened.append(connection)
+        return connection
+
+    monkeypatch.setattr(Connection, "open", opens)
+    return opened
+
+
+def blameless(w, peer: Peer) -> bool:
+    worker = w.service.decisions._module.fleet.workers[peer.name]
+    return not worker.fails and worker.blocked <= w.service.decisions.now()
+
+
+@FRONTS
+@story
+async def test_a_request_that_is_half_written_as_its_client_leaves_is_never_whole(front, monkeypatch):
+    peer = Reluctant("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        opened = open_with_little_room(monkeypatch)
+        client = await w.client()
+        await client.send(body=b"x" * 60000, **LONG)
+        await w.until(lambda: opened and opened[0].unsent)
+        hang_up(client)
+        [left] = w.service.listener.clients
+        await w.until(lambda: left.gone)
+        peer.reads.set()
+        await peer.ended.wait()
+        await w.until(lambda: not w.service.listener.clients)
+        assert not peer.exchanges and not w.service.destinations.open
+        await w.until(lambda: not w.service.decisions._events)  # the module has heard
+        assert blameless(w, peer)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+
+
+@story
+async def test_a_client_that_leaves_as_its_worker_makes_room_has_no_more_written(monkeypatch):
+    peer = Reluctant("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        opened = open_with_little_room(monkeypatch)
+        real, crossed = Connection._ready, []
+
+        async def ready(connection, wait):
+            await real(connection, wait)
+            if connection in opened and not crossed and wait is trio.lowlevel.wait_writable:
+                crossed.append(connection)
+                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)  # room for all the rest
+                left.leave()  # read in the same turn of the loop in which there is room again
+
+        monkeypatch.setattr(Connection, "_ready", ready)
+        client = await w.client()
+        await client.send(body=b"x" * 60000, **LONG)
+        await w.until(lambda: opened and opened[0].unsent)
+        [left] = w.service.listener.clients
+        peer.reads.set()
+        await peer.ended.wait()
+        assert crossed and not peer.exchanges
+        await w.until(lambda: not w.service.listener.clients and not w.service.decisions._events)
+        assert blameless(w, peer) and not w.service.destinations.open
+
+
+@story
+async def test_an_attempt_that_is_written_whole_runs_on_when_its_client_leaves(monkeypatch):
+    async def waits(exchange):
+        await go_on.wait()
+        await exchange.done()
+
+    go_on, peer = trio.Event(), Peer("d1", waits)
+    async with world(peer, settings=ROOMY) as w:
+        client = await w.client()
+        await client.send(**LONG)
+        await w.until(lambda: peer.exchanges)
+        hang_up(client)
+        [left] = w.service.listener.clients
+        await w.until(lambda: left.gone)
+        assert len(peer.live) == 1
+        go_on.set()
+        await w.until(lambda: w.service.destinations._idle.get("d1"))  # its end told much, and it is kept
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -71,7 +71,8 @@
     destination: str
     until: float  # when to stop waiting
     trace: Any = None  # where tracing is on: told of every moment
-    sent: float = 0.0
+    sent: float = 0.0  # its first byte
+    written: bool = False  # its last byte: from then on it may run
     began: float = 0.0  # when its start was told, if attempts are counted in the log
     withdrawn: Ending | None = None
     load: Any = None  # the load report that came with its end, as it was sent
@@ -258,7 +259,8 @@
             step.operation.on_progress(step, share)
 
     def left(self, operation: Operation) -> None:
-        """The client has gone: nothing more is owed. An attempt that is out runs on: its end tells much."""
+        """The client has gone: nothing more is owed. An attempt that is out runs on, for its end tells much;
+        one that is being written must not become whole, and a connection that comes up is kept."""
         if operation.trace is not None and not operation.client_left:
             operation.trace.event(trio.current_time(), "client-left")
             operation.trace.decide(trio.current_time(), "left")
@@ -269,6 +271,8 @@
             if isinstance(step, RouteStep):  # chosen, not yet taken up
                 operation.choice = None
                 self.report(step, Ending.NOT_SENT)
+            if operation.live is not None and operation.live.sent and not operation.live.written:
+                operation.live.withdraw(Ending.NOT_SENT)
             if operation.chosen is not None:
                 operation.chosen.set()
 
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -109,6 +109,8 @@
                 count = self.sock.send(self.outbound.pending())
             except (BlockingIOError, InterruptedError):
                 await self._ready(trio.lowlevel.wait_writable)
+                # Given up in the same turn in which there was room again: then no more goes out.
+                await trio.lowlevel.checkpoint_if_cancelled()
                 continue
             self.outbound.used(count)
             self.unsent -= count
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -109,11 +109,9 @@
         """Carry a route step to its end. Its connection is closed or back in the pool on return."""
         scope = step.scope
         scope.deadline = min(scope.deadline, self._decisions.loop_time(step.until))
-        sent = False
 
         def on_sent() -> None:
-            nonlocal sent
-            sent = True
+            step.written = True
             if step.trace is not None:
                 step.trace.written = trio.current_time()
             self.on_written()
@@ -123,8 +121,9 @@
             outcome = await self._try(step, on_sent)
         if outcome is not None:
             return outcome
-        if not sent:  # given up before its last byte was written: the destination never starts on it
-            return Ending.UNREACHED if step.sent else Ending.NOT_SENT, None
+        if not step.written:  # given up before its last byte went out: the destination never starts on it
+            ours = not step.sent or step.withdrawn is Ending.NOT_SENT  # which says nothing against it
+            return Ending.NOT_SENT if ours else Ending.UNREACHED, None
         return step.withdrawn or Ending.TIMED_OUT, None
 
     async def _try(self, step: RouteStep, on_sent: Callable[[], None]) -> tuple[Ending, Any]:
