Listener: an eviction passes over clients whose request is already there, unread

Cause: `_evict` chose by what had been read. A request that lay in the system when the place was needed was reset by the close, on a kept connection and on a new one. Ruled out: a request that comes between the look and the close (the protocol allows that close). At fault: net/listener.py, `_evict`, which closed without a look. Change: candidates are looked at in the order of their idleness, and those with unread bytes passed over; half a request that has been read still gives way, so a flood of those is no shelter. Result: two stories, each with the request sent and the eviction made in one turn of the loop. Without the change (stashed) both end in a reset of that very request.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -331,7 +331,8 @@
             await real(connection, wait)
             if connection in opened and not crossed and wait is trio.lowlevel.wait_writable:
                 crossed.append(connection)
-                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)  # room for all the rest
+                # Room for all the rest at once.
+                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
                 left.leave()  # read in the same turn of the loop in which there is room again
 
         monkeypatch.setattr(Connection, "_ready", ready)
@@ -363,3 +364,38 @@
         assert len(peer.live) == 1
         go_on.set()
         await w.until(lambda: w.service.destinations._idle.get("d1"))  # its end told much, and it is kept
+
+
+# -- the listener's own closes
+
+
+@story
+async def test_an_eviction_passes_over_a_kept_connection_whose_request_is_already_there():
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        one, other = await w.client(), await w.client()
+        for client, id in ((one, "r0"), (other, "r1")):
+            assert (await client.ask(X_Request_ID=id, **LONG)).status == 200
+        await w.until(lambda: not any(c.answering for c in w.service.listener.clients))
+        # Not a turn of the loop between the request's coming and the eviction: nobody has read it.
+        one.stream.socket._sock.send(raw_request("r2"))
+        assert w.service.listener._evict()
+        assert (await one.reply()).status == 200
+        assert await other.stream.receive_some() == b""  # idle for less long, but idle
+
+
+@story
+async def test_an_eviction_passes_over_a_new_connection_whose_request_is_already_there(monkeypatch):
+    monkeypatch.setattr(listener, "SETTLED", -1.0)  # new ones may give way at once
+    async with world(Peer("d1", done), settings=ROOMY) as w:
+        one, other = await w.client(), await w.client()
+        await w.until(lambda: len(w.service.listener.clients) == 2)
+        one.stream.socket._sock.send(raw_request("r2"))
+        assert w.service.listener._evict() and not w.service.listener._evict()
+        assert (await one.reply()).status == 200
+        assert await other.stream.receive_some() == b""
+
+
+def raw_request(id: str) -> bytes:
+    return (f"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\n"
+            f"X-Timeout-Ms: {LONG['X_Timeout_Ms']}\r\nContent-Length: 2\r\n\r\n{{}}").encode()
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from heapq import nsmallest
+from itertools import islice
 
 import h11
 import trio
@@ -282,23 +282,27 @@
     def _evict(self) -> bool:
         """Have clients give way that have nothing under way. First those that have never had a job carried,
         after a while, and several at once: of them a flood is made. Then the kept connection that has stood
-        idle for longest, as the protocol allows."""
+        idle for longest, as the protocol allows. Whoever's bytes lie unread in the system is passed over: it
+        may be a whole request, which a close would reset."""
         settled = trio.current_time() - SETTLED
         unproven = [c for c in self.clients if not c.proven and not c.answering]
-        going = nsmallest(max(1, self._most // 32), (c for c in unproven if c.since < settled),
-                          key=lambda c: c.since)
+        going = self._longest_idle([c for c in unproven if c.since < settled], max(1, self._most // 32))
         if not going and len(unproven) > self._most // 8:
             return False  # new ones wait the moment until these have had their time
         if not going:
-            idle = min((c for c in self.clients if c.proven and not c.answering and not c.first_byte),
-                       key=lambda c: c.since, default=None)
-            if idle is None:
-                return False
-            going = [idle]
+            going = self._longest_idle([c for c in self.clients
+                                        if c.proven and not c.answering and not c.first_byte], 1)
         for client in going:
             client.leave()
             self._forget(client)
-        return True
+        return bool(going)
+
+    @staticmethod
+    def _longest_idle(clients: list[Client], most: int) -> list[Client]:
+        """The first of those without unread bytes; one whose bytes are read is idle if they are but half."""
+        waiting = (c for c in sorted(clients, key=lambda c: c.since)
+                   if len(c.connection.inbound) or c.connection.quiet() is not Quiet.STRAY)
+        return list(islice(waiting, most))
 
     def _forget(self, client: Client) -> None:
         self.clients.discard(client)
