Listener: a last answer survives what its client sends after it, in a flood too

Cause: with more than half of the places taken, `_part` closed at once. Unread bytes, or such as came a moment later, then reset the connection, and what the client had not taken yet of its answers was lost. A fault in an exchange closed without `_part` at all. At fault: net/listener.py, `_part`, the flood's return; `_converse`, the branch of a fault. Change: an answer to a request that was in order has its usual short wait always; for a bad one in a flood, what lies in the system is taken in one bounded read before the close. A fault's 500 is parted from as others. Result: three stories, with a client that takes little and bytes sent at the moment of the close.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,6 +10,7 @@
 
 import pytest
 import trio
+import trio.testing
 from helper import SETTINGS, Client, Peer, done, story, world
 
 from yewrill.net import listener
@@ -399,3 +400,84 @@
 def raw_request(id: str) -> bytes:
     return (f"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\n"
             f"X-Timeout-Ms: {LONG['X_Timeout_Ms']}\r\nContent-Length: 2\r\n\r\n{{}}").encode()
+
+
+async def narrow_client(w) -> Client:
+    """A client that takes little before it reads, so that most of an answer stays with the service."""
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    await sock.connect(w.service.listener.address)
+    return Client(trio.SocketStream(sock))
+
+
+async def all_of(client: Client) -> bytes:
+    """What it gets until an orderly end; a reset is an error."""
+    said = b""
+    while data := await client.stream.receive_some():
+        said += data
+    return said
+
+
+def as_it_is_sent(monkeypatch, act) -> trio.Event:
+    """Have something happen as a reply has been written, before the listener goes on."""
+    real, sent = Served.send, trio.Event()
+
+    async def sends(client, data):
+        try:
+            return await real(client, data)
+        finally:
+            if not sent.is_set():
+                sent.set()
+                act()
+
+    monkeypatch.setattr(Served, "send", sends)
+    return sent
+
+
+WHOLE = "x" * 60000
+
+
+async def much(exchange):
+    await exchange.done(WHOLE)
+
+
+@story
+async def test_in_a_flood_an_answer_to_a_job_is_not_killed_by_what_its_client_sends(monkeypatch):
+    monkeypatch.setattr(listener, "PART_TIME", 10.0)
+    async with world(Peer("d1", much), settings=ROOMY) as w:
+        w.service.listener.limit(1)  # more than half of all places are taken
+        w.service.leaving = True  # so this is the last answer on its connection
+        client = await narrow_client(w)
+        sent = as_it_is_sent(monkeypatch, lambda: None)
+        await client.send(**LONG)
+        await sent.wait()
+        await trio.testing.wait_all_tasks_blocked()  # the close has come, if one does
+        client.stream.socket._sock.send(raw_request("r2"))
+        reply = await client.reply()
+        assert (reply.status, len(reply.body)) == (200, len(WHOLE))
+        assert await client.stream.receive_some() == b""
+        await client.stream.aclose()
+
+
+@story
+async def test_in_a_flood_what_a_bad_client_has_sent_kills_no_answer_on_its_way(monkeypatch):
+    async with world(Peer("d1", much), settings=ROOMY) as w:
+        w.service.listener.limit(1)
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        as_it_is_sent(monkeypatch, lambda: client.stream.socket._sock.send(b"x" * 30000))
+        await client.stream.send_all(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+        await w.until(lambda: not w.service.listener.clients)
+        said = await all_of(client)
+        assert said.count(WHOLE.encode()) == 1 and said.count(b"HTTP/1.1 404 ") == 1
+
+
+@story
+async def test_a_fault_of_our_own_is_told_whatever_its_client_sends(monkeypatch):
+    async with world(Peer("d1", done), settings=ROOMY) as w:
+        monkeypatch.setattr(w.service.front, "respond", None)
+        client = await w.client()
+        as_it_is_sent(monkeypatch, lambda: client.stream.socket._sock.send(raw_request("r2")))
+        assert (await client.ask(**LONG)).status == 500
+        assert await client.stream.receive_some() == b""
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -374,13 +374,14 @@
                     return
                 reply = Reply(bad.status, bad.text.encode() + b"\n", list(bad.headers))
                 await client.send(client.http.whole(reply, close=True))
-                await self._part(client)
+                await self._part(client, owed=bad.status >= 500)
                 return
             except Exception:
                 # A fault in one exchange must lose neither the program nor this client's answer.
                 log.exception("exchange-fault")
                 if not client.gone and client.http.can_answer:
                     await client.send(client.http.whole(Reply(500, b"internal fault\n"), close=True))
+                    await self._part(client)
                 return
             if client.gone:
                 return
@@ -400,12 +401,16 @@
             return await client.request()
         raise BadRequest(408, "the request took too long")
 
-    async def _part(self, client: Client) -> None:
-        """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets."""
+    async def _part(self, client: Client, owed: bool = True) -> None:
+        """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets.
+        `owed`: it answers a request that was in order."""
         with suppress(OSError):
             client.connection.sock.shutdown(socket.SHUT_WR)
-        if len(self.clients) > self._most // 2:
-            return  # a flood: its descriptors are needed more than the last word to it
+        if not owed and len(self.clients) > self._most // 2:
+            # A flood: its descriptors are needed more than it is waited for. What is there already is taken.
+            with suppress(OSError):
+                client.connection.drop_now()
+            return
         with trio.move_on_after(PART_TIME):
             read = 0
             while not client.gone and read < PART_BYTES:
