Drain: a resting connection is let go in order, so no answer on its way is killed

Cause: `_let_go` looked whether a kept connection was idle and closed it. A request that came between the look and the close, or just after it, reset the connection, and what its client had not taken yet of the last answer was lost; so in `_converse`, where an answer written as the drain began was followed by the close. Ruled out: the look itself (it sees what is there; the story sends right after it). At fault: net/listener.py, `_let_go` and `_converse`, `client.leave()` on a connection that has had answers. Change: such a connection is ended (SHUT_WR) and handed to its own task, which takes and drops what comes for the usual bounded moment (`_part`) and never serves it. One that never had an answer is closed as before. What lies unread when it is looked at is served first, as before. Result: three stories with a client that takes little; the crossing request is sent inside the look.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -481,3 +481,83 @@
         as_it_is_sent(monkeypatch, lambda: client.stream.socket._sock.send(raw_request("r2")))
         assert (await client.ask(**LONG)).status == 500
         assert await client.stream.receive_some() == b""
+
+
+# -- a drain
+
+
+def as_it_is_looked_at(monkeypatch, act) -> None:
+    """Have something happen between the look at a resting connection and what follows from it."""
+    real, looked = Connection.quiet, []
+
+    def looks(connection):
+        seen = real(connection)
+        if not looked:
+            looked.append(connection)
+            act()
+        return seen
+
+    monkeypatch.setattr(Connection, "quiet", looks)
+
+
+def restart(w) -> None:
+    w.service.leaving = True
+    w.service.listener.close()
+
+
+def release(w) -> None:
+    w.service.listener.release(0.0)
+
+
+@pytest.mark.parametrize("let_go", [restart, release])
+@story
+async def test_a_request_that_crosses_a_resting_connections_end_kills_no_answer_and_is_not_served(
+        let_go, monkeypatch):
+    monkeypatch.setattr(listener, "PART_TIME", 10.0)
+    peer = Peer("d1", much)
+    async with world(peer, settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        as_it_is_looked_at(monkeypatch, lambda: client.stream.socket._sock.send(raw_request("r2")))
+        let_go(w)  # most of the answer is still here, and the next request has just come
+        await trio.testing.wait_all_tasks_blocked()
+        reply = await client.reply()
+        assert (reply.status, len(reply.body)) == (200, len(WHOLE))
+        assert await all_of(client) == b""
+        await client.stream.aclose()
+        await w.until(lambda: not w.service.listener.clients)
+        assert [e.id for e in peer.exchanges] == ["r1"]
+
+
+@story
+async def test_an_answer_written_as_a_drain_closes_is_not_killed_by_the_next_request(monkeypatch):
+    monkeypatch.setattr(listener, "PART_TIME", 10.0)
+    peer = Peer("d1", much)
+    async with world(peer, settings=ROOMY) as w:
+        client = await narrow_client(w)
+        sent = as_it_is_sent(monkeypatch, lambda: restart(w))  # too late for it to say that it closes
+        as_it_is_looked_at(monkeypatch, lambda: client.stream.socket._sock.send(raw_request("r2")))
+        await client.send(**LONG)
+        await sent.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        reply = await client.reply()
+        assert (reply.status, len(reply.body)) == (200, len(WHOLE)) and "connection" not in reply.headers
+        assert await all_of(client) == b""
+        await client.stream.aclose()
+        await w.until(lambda: not w.service.listener.clients)
+        assert [e.id for e in peer.exchanges] == ["r1"]
+
+
+@story
+async def test_a_request_that_lies_unread_as_a_drain_closes_is_served():
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        client = await w.client()
+        assert (await client.ask(**LONG)).status == 200
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        client.stream.socket._sock.send(raw_request("r2"))
+        restart(w)
+        reply = await client.reply()
+        assert (reply.status, reply.headers["connection"]) == (200, "close")
+        assert [e.id for e in peer.exchanges] == ["r1", "r2"]
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -134,6 +134,11 @@
         poll.register(self.sock, select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def end(self) -> None:
+        """Say that nothing more is sent; what was sent before goes on its way."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -49,6 +49,8 @@
         self.proven = False  # an operation of its has been carried
         self.since = self.opened = trio.current_time()  # since when it has nothing under way
         self.first_byte = 0.0
+        self.parting = False  # it is let go: whatever it sends from here on is dropped
+        self._rest = trio.CancelScope()  # the wait for its next request
 
     async def _read_ahead(self, scope: trio.CancelScope, ended: trio.Event) -> None:
         try:
@@ -106,6 +108,29 @@
                 self.on_left(self.operation)
             self.connection.close()
 
+    @property
+    def resting(self) -> bool:
+        """Whether nothing of it is under way, as far as has been read."""
+        return not self.answering and not self.first_byte and not self.parting
+
+    async def rested(self) -> bool:
+        """Wait for the next request to begin; False if it is let go instead."""
+        self._rest = trio.CancelScope()
+        with self._rest:
+            if not self.parting:
+                await self.readable()
+        return not self.parting
+
+    def let_go(self) -> None:
+        """Take no more requests. Once answered, it is parted from in order, by its own task: a close over
+        what comes in this instant would reset the connection and kill the last answer on its way."""
+        if self.since == self.opened:
+            self.leave()
+            return
+        self.parting = True
+        self.connection.end()
+        self._rest.cancel()
+
     async def readable(self) -> None:
         """Wait until bytes have come or the client is gone."""
         while not len(self.connection.inbound) and not self.gone:
@@ -290,8 +315,7 @@
         if not going and len(unproven) > self._most // 8:
             return False  # new ones wait the moment until these have had their time
         if not going:
-            going = self._longest_idle([c for c in self.clients
-                                        if c.proven and not c.answering and not c.first_byte], 1)
+            going = self._longest_idle([c for c in self.clients if c.proven and c.resting], 1)
         for client in going:
             client.leave()
             self._forget(client)
@@ -346,8 +370,8 @@
 
     def _let_go(self, client: Client) -> None:
         # A request that has come but was not read yet is served first.
-        if not client.answering and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
-            client.leave()
+        if client.resting and client.connection.quiet() is Quiet.IDLE:
+            client.let_go()
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -363,6 +387,8 @@
             try:
                 request = await self._next_request(client)
                 if request is None:
+                    if client.parting:
+                        await self._part(client)
                     return
                 if client.ahead:
                     # Many at once on one connection: refused here, where it costs least.
@@ -394,8 +420,8 @@
 
     async def _next_request(self, client: Client) -> Request | None:
         first = client.since == client.opened
-        if not first:
-            await client.readable()
+        if not first and not await client.rested():
+            return None
         patience = REQUEST_TIME if self._patience is None else self._patience
         with trio.move_on_at((client.opened if first else client.first_byte) + patience):
             return await client.request()
@@ -404,8 +430,7 @@
     async def _part(self, client: Client, owed: bool = True) -> None:
         """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets.
         `owed`: it answers a request that was in order."""
-        with suppress(OSError):
-            client.connection.sock.shutdown(socket.SHUT_WR)
+        client.connection.end()
         if not owed and len(self.clients) > self._most // 2:
             # A flood: its descriptors are needed more than it is waited for. What is there already is taken.
             with suppress(OSError):
