Drain: half a request holds up no exit, and one that is whole after the last call is not taken

Cause: half a request had its 2.5 s from its first byte also when the drain's last call came before, so a client that sent half and stopped kept the program past its grace, to be killed. One that became whole after the last call was taken, with nobody left to call for its answer. Ruled out: those that said nothing at all (closed with the listener, as a standing story shows). At fault: service.py, `drain`, which ended with `give_up`; net/listener.py had no end for such clients. Change: after the last call `Listener.cut` closes whoever has no whole request here and no reply on its way.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,8 @@
 reaches is told by a scripted peer and the service's own calls between two turns of the loop.
 """
 
+import os
+import signal
 import socket
 import struct
 from contextlib import suppress
@@ -11,7 +13,7 @@
 import pytest
 import trio
 import trio.testing
-from helper import SETTINGS, Client, Peer, done, story, world
+from helper import SETTINGS, Client, Peer, done, story, timed_story, world
 
 from yewrill.net import listener
 from yewrill.net.connection import RING, Connection
@@ -367,6 +369,37 @@
         await w.until(lambda: w.service.destinations._idle.get("d1"))  # its end told much, and it is kept
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+@story
+async def test_a_stream_whose_head_is_not_taken_has_nothing_sent_once_its_reader_is_gone(leaves, monkeypatch):
+    """It leaves while its head is being written, or takes it so slowly that it is given up."""
+    peer, real, writing, go_on = Peer("d1", done), Served.send, trio.Event(), trio.Event()
+
+    async def sends(client, data):
+        if not writing.is_set():
+            writing.set()
+            await go_on.wait()
+            return leaves and await real(client, data)
+        return await real(client, data)
+
+    async with world(peer, front="progress", settings=ROOMY) as w:
+        monkeypatch.setattr(Served, "send", sends)
+        client = await w.client()
+        await client.send(**LONG)
+        await writing.wait()
+        [left] = w.service.listener.clients
+        operation = left.operation
+        await w.until(lambda: operation.choice is not None)  # the module has chosen a worker for it
+        if leaves:
+            hang_up(client)
+            await w.until(lambda: left.gone)
+        go_on.set()
+        await w.until(lambda: not w.service.listener.clients)
+        assert operation.client_left
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer])
+
+
 # -- the listener's own closes
 
 
@@ -561,3 +594,121 @@
         reply = await client.reply()
         assert (reply.status, reply.headers["connection"]) == (200, "close")
         assert [e.id for e in peer.exchanges] == ["r1", "r2"]
+
+
+HALF = raw_request("half")[:60]
+
+
+@timed_story
+async def test_half_a_request_is_served_if_it_is_whole_by_the_last_call():
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}) as w:
+        client = await w.client()
+        await client.stream.send_all(HALF)
+        await w.until(lambda: any(c.first_byte for c in w.service.listener.clients))
+        w.nursery.start_soon(w.service.drain)
+        await w.until(lambda: w.service.listener.stopping)
+        await client.stream.send_all(raw_request("half")[60:])
+        said = await all_of(client)
+        assert said.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in said
+        await w.ended.wait()
+
+
+@pytest.mark.parametrize("read", [True, False])
+@timed_story
+async def test_half_a_request_holds_up_no_drain_beyond_its_grace(read):
+    async with world(Peer("d1", done), settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}) as w:
+        client = await w.client()
+        await w.until(lambda: w.service.listener.clients)
+        began = trio.current_time()
+        w.nursery.start_soon(w.service.drain)
+        if read:
+            await w.until(lambda: not w.service.listener.accepting)
+            await client.stream.send_all(HALF)
+        else:  # it comes in the very turn of the close
+            real = w.service.listener.close
+
+            def closes():
+                client.stream.socket._sock.send(HALF)
+                real()
+
+            w.service.listener.close = closes
+        await w.ended.wait()
+        assert trio.current_time() - began < 1.4
+
+
+@timed_story
+async def test_a_request_that_is_whole_only_after_the_last_call_is_not_taken(monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}) as w:
+        real = w.service.decisions.give_up
+
+        def gives_up():
+            real()
+            client.stream.socket._sock.send(raw_request("half")[60:])
+
+        monkeypatch.setattr(w.service.decisions, "give_up", gives_up)
+        held = Gate(w, monkeypatch)  # so that there is somebody to call
+        client, other = await w.client(), await w.client()
+        w.nursery.start_soon(w.service.drain)
+        await w.until(lambda: not w.service.listener.accepting)
+        await client.stream.send_all(HALF)
+        await other.send(X_Request_ID="r2", X_Timeout_Ms="15000")
+        await w.until(lambda: held.held == 1)
+        assert (await other.reply()).status == 502
+        with suppress(trio.BrokenResourceError):
+            assert await client.stream.receive_some() == b""
+        await w.ended.wait()
+        assert not peer.exchanges
+
+
+@FRONTS
+@story
+async def test_signals_that_come_together_or_again_end_the_program_once_and_lose_no_answer(front):
+    async def waits(exchange):
+        await go_on.wait()
+        await exchange.done()
+
+    go_on, peer = trio.Event(), Peer("d1", waits)
+    previous = {number: signal.signal(number, lambda *_: None) for number in (signal.SIGTERM, signal.SIGHUP)}
+    try:
+        async with world(peer, front=front, settings=ROOMY, signals=True,
+                         timing={"linger_ms": 50, "grace_ms": 4000}) as w:
+            client = await w.client()
+            await client.send(**LONG)
+            await w.until(lambda: peer.exchanges)
+            w.raw["timing"] = {"linger_ms": 60, "grace_ms": 4000}
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                os.kill(os.getpid(), number)  # no turn of the loop between them
+            await w.until(lambda: w.service.draining and w.service.config.linger_ms == 60)
+            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await w.until(lambda: not w.service.listener.accepting)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.testing.wait_all_tasks_blocked()
+            go_on.set()
+            assert (await client.reply()).status == 200
+            await client.stream.aclose()
+            await w.ended.wait()
+    finally:
+        for number, handler in previous.items():
+            signal.signal(number, handler)
+
+
+@story
+async def test_the_backlog_at_the_listeners_close_is_served_and_beyond_the_bound_it_is_reset():
+    peer = Peer("d1", done)
+    async with world(peer, settings=ROOMY) as w:
+        late = [socket.create_connection(w.service.listener.address) for _ in range(3)]
+        for i, sock in enumerate(late):
+            sock.sendall(raw_request(f"r{i}"))
+        w.service.listener.limit(2)
+        w.service.listener.stop_accepting()  # not a turn of the loop since they came
+        streams = [trio.SocketStream(trio.socket.from_stdlib_socket(sock)) for sock in late]
+        for stream in streams[:2]:
+            assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
+        with pytest.raises(trio.BrokenResourceError):
+            await streams[2].receive_some()
+        assert sorted(e.id for e in peer.exchanges) == ["r0", "r1"]
+        for stream in streams:
+            await stream.aclose()
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -361,6 +361,12 @@
         for client in list(self.clients):
             self._let_go(client)
 
+    def cut(self) -> None:
+        """Close whoever has no whole request here and no reply on its way: nobody would answer it in time."""
+        for client in list(self.clients):
+            if not client.answering and not client.parting:
+                client.leave()
+
     def release(self, age: float) -> None:
         """Let those go that have stood idle for so many seconds; no new ones are refused."""
         before = trio.current_time() - age
@@ -398,6 +404,7 @@
             except BadRequest as bad:
                 if client.gone or not client.http.can_answer:
                     return
+                client.parting = True
                 reply = Reply(bad.status, bad.text.encode() + b"\n", list(bad.headers))
                 await client.send(client.http.whole(reply, close=True))
                 await self._part(client, owed=bad.status >= 500)
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -217,6 +217,7 @@
         if self.decisions.pending:
             log.warning("last-call open=%d", self.decisions.pending)
             self.decisions.give_up()
+        self.listener.cut()
 
     # -- two runs of one dispatcher
 
