Endings: answers that break off, come late or twice, connections that fail to come up, clients in one go

What each shows: - 1 and 200 requests with the end right behind them, sent before the client is accepted: nothing is sent; - an answer that its client does not take is given up in time and holds no place, id or operation; - a worker's answer that breaks off in its head, a line or a chunk, or ends without a word: repeated only as the class allows, its connection not kept; a second `done`, a second answer, no end of the message, one byte at a time: each job has its own result once; - a job that the module gives up in the turn in which its attempt ends has one answer, and leaves nothing open; - a connection that does not come up in time never ran; a worker that closes between the look and the write costs no repeatable job and is not blamed.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,8 +13,10 @@
 import pytest
 import trio
 import trio.testing
+import ujson
 from helper import SETTINGS, Client, Peer, done, story, timed_story, world
 
+from yewrill import interface as api
 from yewrill.net import listener
 from yewrill.net.connection import RING, Connection
 from yewrill.net.destinations import DestinationPool
@@ -79,6 +81,7 @@
     peer = Peer("d1", done)
     async with world(peer, settings=ROOMY) as w:
         assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+        await w.until(lambda: w.service.destinations._idle.get("d1"))
         client = await w.client()
         begun = as_a_line_is_taken(monkeypatch, lambda: hang_up(client))
         await client.send(**LONG)
@@ -712,3 +715,205 @@
         assert sorted(e.id for e in peer.exchanges) == ["r0", "r1"]
         for stream in streams:
             await stream.aclose()
+
+
+# -- clients that do everything at once
+
+
+@pytest.mark.parametrize("raw", [1, 200])
+@FRONTS
+@story
+async def test_requests_and_the_end_behind_them_in_one_go_have_nothing_sent(front, raw):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+        await w.until(lambda: w.service.destinations._idle.get("d1"))  # an attempt there needs no wait
+        gone = [socket.create_connection(w.service.listener.address) for _ in range(50)]
+        for i, sock in enumerate(gone):
+            sock.sendall(raw_request(f"left{i}") * raw)
+            sock.close()  # all this before the service has accepted one of them
+        seen = []
+        await w.until(lambda: seen.append(len(w.service.listener.clients)) or (max(seen) and not seen[-1]))
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(peer) == []
+
+
+@timed_story
+async def test_an_answer_that_is_not_taken_is_given_up_in_time_and_holds_no_place(monkeypatch):
+    monkeypatch.setattr(listener, "SEND_TIME", 0.3)
+    async with world(Peer("d1", much), settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await w.until(lambda: w.service.listener.clients)
+        [served] = w.service.listener.clients
+        served.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await client.send(**LONG)
+        await w.until(lambda: served.connection.unsent)
+        began = trio.current_time()
+        await w.until(lambda: not w.service.listener.clients)
+        assert trio.current_time() - began < 0.5
+        assert not w.service._open and not w.service.decisions.pending
+        await client.stream.aclose()
+
+
+# -- workers
+
+
+async def half_a_head(exchange):
+    await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Ty")
+    exchange.reset()
+
+
+async def half_a_line(exchange):
+    await exchange.say("started")
+    await exchange.raw('{"id":"r1","from":"d","state":"do')
+    exchange.reset()
+
+
+async def an_end_without_a_word(exchange):
+    await exchange.say("started")
+    await exchange.stream.send_all(b"0\r\n\r\n")
+
+
+async def half_a_chunk(exchange):
+    await exchange.say("started")
+    await exchange.stream.send_all(b"ff\r\n{")
+    await exchange.stream.send_eof()
+    await exchange.closed()
+
+
+@pytest.mark.parametrize("breaks_off", [half_a_head, half_a_line, an_end_without_a_word, half_a_chunk])
+@FRONTS
+@story
+async def test_an_answer_that_breaks_off_may_have_run_and_is_repeated_only_as_its_class_allows(
+        front, breaks_off):
+    async def script(exchange):
+        await (breaks_off if len(everything()) == 1 else done)(exchange)
+
+    def everything():
+        return [e for p in peers for e in p.exchanges]
+
+    for target, attempts in (("/tour", 2), ("/once", 1)):
+        peers = [Peer("d1", script), Peer("d2", script)]
+        async with world(*peers, front=front, settings=ROOMY) as w:
+            reply = await w.ask(target, **LONG)
+            assert len(everything()) == attempts
+            if front == "progress":
+                assert (b"event: served" in reply.body, b"event: failed" in reply.body) == \
+                    (attempts == 2, attempts == 1)
+            else:
+                assert reply.status == (200 if attempts == 2 else 502)
+            await w.until(lambda: w.service.destinations.open <= 1)  # what broke off is not kept
+
+
+async def twice(exchange):
+    await exchange.say("done", result="profile")
+    await exchange.say("done", result="another")
+    await exchange.stream.send_all(b"0\r\n\r\n")
+
+
+async def without_an_end(exchange):
+    await exchange.say("done", result="profile")
+    await exchange.closed()
+
+
+async def a_second_answer(exchange):
+    await exchange.done()
+    exchange.begun = False
+    await exchange.done("another")
+
+
+async def byte_by_byte(exchange):
+    line = ujson.dumps({"id": exchange.id, "from": "d", "state": "done", "result": "profile"})
+    text = f"data: {line}\n\n" if exchange.front == "progress" else line + "\n"
+    for letter in text:
+        await exchange.raw(letter)
+    await exchange.stream.send_all(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("odd", [twice, without_an_end, a_second_answer, byte_by_byte])
+@FRONTS
+@story
+async def test_whatever_follows_a_done_each_job_has_its_own_result_once(front, odd):
+    peer = Peer("d1", odd)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        for i in range(4):
+            reply = await w.ask("/once", X_Request_ID=f"r{i}", **LONG)
+            assert reply.status == 200 and reply.body.count(b"profile") == 1 and b"another" not in reply.body
+        assert [e.id for e in peer.exchanges] == ["r0", "r1", "r2", "r3"]
+
+
+async def lost(exchange):
+    await exchange.say("lost")
+
+
+@pytest.mark.parametrize("script, served", [(done, True), (lost, False)])
+@FRONTS
+@story
+async def test_an_answer_that_comes_as_its_time_is_up_is_the_only_one(front, script, served):
+    """The module gives a job up in the very turn in which its attempt has ended."""
+    async with world(Peer("d1", script), front=front, settings=ROOMY) as w:
+        real, decisions = w.service._attempt, w.service.decisions
+
+        async def attempt(step):
+            ending = await real(step)
+            decisions._carry_out(api.Fail(step.operation.key, "its time is up"), decisions.now())
+            return ending
+
+        w.service._attempt = attempt
+        client = await w.client()
+        await client.send("/once", **LONG)
+        reply = await client.reply()
+        if front == "progress":
+            assert (reply.body.count(b"event: served"), reply.body.count(b"event: failed")) == \
+                (served, not served)
+        else:
+            assert reply.status == (200 if served else 502)
+        await w.until(lambda: not decisions.pending and not decisions._live and not w.service._open)
+
+
+@timed_story
+async def test_a_connection_that_does_not_come_up_in_time_never_ran_so_any_class_goes_elsewhere(monkeypatch):
+    peers = [Peer("d1", done), Peer("d2", done)]
+    async with world(*peers, settings=ROOMY) as w:
+        real, tried = Connection.open, []
+
+        async def opens(address, *args):
+            tried.append(address)
+            if len(tried) == 1:
+                await trio.sleep_forever()
+            return await real(address, *args)
+
+        monkeypatch.setattr(Connection, "open", opens)
+        assert (await w.ask("/once", **LONG)).status == 200
+        assert len(tried) == 2 and tried[0] != tried[1]
+        assert sum(len(p.exchanges) for p in peers) == 1 and w.service.destinations.open == 1
+
+
+@story
+async def test_a_worker_that_closes_between_the_look_and_the_write_costs_no_repeatable_job(monkeypatch):
+    peer, other = Peer("d1", done), Peer("d2", done)
+    async with world(peer, other, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        gate.worker = "d1"
+        assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+
+        def closes():
+            for stream in list(peer.live):
+                stream.socket.close()
+            gate.worker = "d2"
+
+        await w.until(lambda: w.service.destinations._idle.get("d1"))
+        [line] = w.service.destinations._idle["d1"]
+        real = Connection.quiet
+
+        def looks(connection):
+            seen = real(connection)
+            if connection is line.http.connection and not connection.closed and peer.live:
+                closes()
+                peer.live.clear()
+            return seen
+
+        monkeypatch.setattr(Connection, "quiet", looks)
+        assert (await w.ask(X_Request_ID="r1", **LONG)).status == 200
+        assert blameless(w, peer)
+        assert [e.id for p in (peer, other) for e in p.exchanges] == ["r0", "r1"]
