--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -13,6 +14,7 @@
 from yewrill.net.ring import RingBuffer
 
 RING = 8192
+_SCRATCH = bytearray(64 * 1024)  # where bytes go that nobody wants; shared, for nobody reads it
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -80,6 +82,15 @@
         self.inbound.filled(count)
         return count
 
+    def drop_now(self) -> int | None:
+        """Read and forget a bounded part of what has come: how much, 0 at the end; None if nothing has."""
+        if self.closed:
+            raise OSError("connection closed here")
+        try:
+            return self.sock.recv_into(_SCRATCH)
+        except (BlockingIOError, InterruptedError):
+            return None
+
     async def receive(self) -> bytes:
         """The next bytes, empty at the end of the stream."""
         if not len(self.inbound):
@@ -98,6 +109,8 @@
                 count = self.sock.send(self.outbound.pending())
             except (BlockingIOError, InterruptedError):
                 await self._ready(trio.lowlevel.wait_writable)
+                # Given up in the same turn in which there was room again: then no more goes out.
+                await trio.lowlevel.checkpoint_if_cancelled()
                 continue
             self.outbound.used(count)
             self.unsent -= count
@@ -113,6 +126,19 @@
         except OSError:
             return Quiet.ENDED
 
+    def ended(self) -> bool:
+        """Whether the peer has closed or reset by now, also where that still lies behind unread bytes."""
+        if self.closed:
+            return True
+        poll = select.poll()  # not select(), which knows no descriptor over 1023
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def end(self) -> None:
+        """Say that nothing more is sent; what was sent before goes on its way."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -14,7 +14,7 @@
 
 from yewrill import loadreport
 from yewrill.ending import Ending
-from yewrill.facade import Decisions, Destination, RouteStep
+from yewrill.facade import Decisions, Destination, Operation, RouteStep
 from yewrill.net.connection import NO_DESCRIPTORS, Connection, Quiet
 from yewrill.net.http import ClientSide, PeerEnded
 from yewrill.net.poolconfig import PoolConfig
@@ -77,6 +77,10 @@
     kept: bool = False  # it has carried an exchange before
 
 
+def _client_gone(operation: Operation) -> bool:
+    return operation.client_left or (operation.has_left is not None and operation.has_left())
+
+
 class DestinationPool:
     def __init__(self, decisions: Decisions, pool: PoolConfig, codec: DestinationCodec, *,
                  most: int, connect_timeout: float, idle_limit: float):
@@ -105,11 +109,9 @@
         """Carry a route step to its end. Its connection is closed or back in the pool on return."""
         scope = step.scope
         scope.deadline = min(scope.deadline, self._decisions.loop_time(step.until))
-        sent = False
 
         def on_sent() -> None:
-            nonlocal sent
-            sent = True
+            step.written = True
             if step.trace is not None:
                 step.trace.written = trio.current_time()
             self.on_written()
@@ -119,8 +121,9 @@
             outcome = await self._try(step, on_sent)
         if outcome is not None:
             return outcome
-        if not sent:  # given up before its last byte was written: the destination never starts on it
-            return Ending.UNREACHED if step.sent else Ending.NOT_SENT, None
+        if not step.written:  # given up before its last byte went out: the destination never starts on it
+            ours = not step.sent or step.withdrawn is Ending.NOT_SENT  # which says nothing against it
+            return Ending.NOT_SENT if ours else Ending.UNREACHED, None
         return step.withdrawn or Ending.TIMED_OUT, None
 
     async def _try(self, step: RouteStep, on_sent: Callable[[], None]) -> tuple[Ending, Any]:
@@ -152,8 +155,8 @@
         keep = False
         try:
             # Opening took time: the last look before the first byte.
-            if step.operation.client_left or self._decisions.now() >= step.until \
-                    or not self._pool.may_send(step.destination):
+            if self._decisions.now() >= step.until or not self._pool.may_send(step.destination) \
+                    or _client_gone(step.operation):
                 keep = True
                 return Ending.NOT_SENT, None
             step.sent = self._decisions.now()
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from heapq import nsmallest
+from itertools import islice
 
 import h11
 import trio
@@ -28,11 +28,16 @@
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
 PART_TIME = 0.2  # seconds for a client to take its last reply and close
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
+# Seconds between two reads from a client whose ring is full, and at least so many for each such client there
+# is: what it sends is dropped at this pace, only so that its end is seen.
+OVERRUN_PAUSE, OVERRUN_SHARE = 0.02, 0.0004
 
 
 class Client:
     """A client's connection, read ahead while an operation is under way, so that its end is seen."""
 
+    overrunning = 0  # of all clients: those whose ring is full
+
     def __init__(self, connection: Connection):
         self.connection = connection
         self.http = ServerSide()
@@ -40,19 +45,41 @@
         self.on_left: Callable[[Operation], None] = lambda operation: None
         self.gone = False
         self.answering = False  # a whole request is under way
+        self.overrun = False  # part of what it sent ahead has been dropped: nothing after can be read
         self.proven = False  # an operation of its has been carried
         self.since = self.opened = trio.current_time()  # since when it has nothing under way
         self.first_byte = 0.0
+        self.parting = False  # it is let go: whatever it sends from here on is dropped
+        self._rest = trio.CancelScope()  # the wait for its next request
 
     async def _read_ahead(self, scope: trio.CancelScope, ended: trio.Event) -> None:
-        """A full ring is left alone: its owner is off the protocol."""
         try:
             with scope:
                 while not self.gone and self.connection.inbound.room:
                     await self._fill()
+                await self._watch_overrun()
         finally:
             ended.set()
 
+    async def _watch_overrun(self) -> None:
+        """A client that fills its ring ahead of its answer is off the protocol, but its end still counts."""
+        Client.overrunning += 1
+        try:
+            while not self.gone:
+                await trio.sleep(max(OVERRUN_PAUSE, OVERRUN_SHARE * Client.overrunning))
+                self._drop_some()
+        finally:
+            Client.overrunning -= 1
+
+    def _drop_some(self) -> None:
+        self.overrun = True
+        try:
+            # The end may lie behind more than one read takes; behind a full window only reading brings it.
+            if self.connection.ended() or self.connection.drop_now() == 0:
+                self.leave()
+        except OSError:
+            self.leave()
+
     async def _fill(self) -> None:
         try:
             if not await self.connection.fill():
@@ -67,6 +94,12 @@
         """Whether it has sent on before its answer, which clients of the protocol don't."""
         return bool(len(self.connection.inbound) or self.http.parser.trailing_data[0].strip())
 
+    def has_left(self) -> bool:
+        """A look at the socket itself: in a burst of ends, this one's may not have been read yet."""
+        if not self.gone and self.connection.ended():
+            self.leave()
+        return self.gone
+
     def leave(self) -> None:
         """The client has gone away, or is being let go."""
         if not self.gone:
@@ -75,6 +108,29 @@
                 self.on_left(self.operation)
             self.connection.close()
 
+    @property
+    def resting(self) -> bool:
+        """Whether nothing of it is under way, as far as has been read."""
+        return not self.answering and not self.first_byte and not self.parting
+
+    async def rested(self) -> bool:
+        """Wait for the next request to begin; False if it is let go instead."""
+        self._rest = trio.CancelScope()
+        with self._rest:
+            if not self.parting:
+                await self.readable()
+        return not self.parting
+
+    def let_go(self) -> None:
+        """Take no more requests. Once answered, it is parted from in order, by its own task: a close over
+        what comes in this instant would reset the connection and kill the last answer on its way."""
+        if self.since == self.opened:
+            self.leave()
+            return
+        self.parting = True
+        self.connection.end()
+        self._rest.cancel()
+
     async def readable(self) -> None:
         """Wait until bytes have come or the client is gone."""
         while not len(self.connection.inbound) and not self.gone:
@@ -251,23 +307,26 @@
     def _evict(self) -> bool:
         """Have clients give way that have nothing under way. First those that have never had a job carried,
         after a while, and several at once: of them a flood is made. Then the kept connection that has stood
-        idle for longest, as the protocol allows."""
+        idle for longest, as the protocol allows. Whoever's bytes lie unread in the system is passed over: it
+        may be a whole request, which a close would reset."""
         settled = trio.current_time() - SETTLED
         unproven = [c for c in self.clients if not c.proven and not c.answering]
-        going = nsmallest(max(1, self._most // 32), (c for c in unproven if c.since < settled),
-                          key=lambda c: c.since)
+        going = self._longest_idle([c for c in unproven if c.since < settled], max(1, self._most // 32))
         if not going and len(unproven) > self._most // 8:
             return False  # new ones wait the moment until these have had their time
         if not going:
-            idle = min((c for c in self.clients if c.proven and not c.answering and not c.first_byte),
-                       key=lambda c: c.since, default=None)
-            if idle is None:
-                return False
-            going = [idle]
+            going = self._longest_idle([c for c in self.clients if c.proven and c.resting], 1)
         for client in going:
             client.leave()
             self._forget(client)
-        return True
+        return bool(going)
+
+    @staticmethod
+    def _longest_idle(clients: list[Client], most: int) -> list[Client]:
+        """The first of those without unread bytes; one whose bytes are read is idle if they are but half."""
+        waiting = (c for c in sorted(clients, key=lambda c: c.since)
+                   if len(c.connection.inbound) or c.connection.quiet() is not Quiet.STRAY)
+        return list(islice(waiting, most))
 
     def _forget(self, client: Client) -> None:
         self.clients.discard(client)
@@ -302,6 +361,12 @@
         for client in list(self.clients):
             self._let_go(client)
 
+    def cut(self) -> None:
+        """Close whoever has no whole request here and no reply on its way: nobody would answer it in time."""
+        for client in list(self.clients):
+            if not client.answering and not client.parting:
+                client.leave()
+
     def release(self, age: float) -> None:
         """Let those go that have stood idle for so many seconds; no new ones are refused."""
         before = trio.current_time() - age
@@ -311,8 +376,8 @@
 
     def _let_go(self, client: Client) -> None:
         # A request that has come but was not read yet is served first.
-        if not client.answering and not client.first_byte and client.connection.quiet() is Quiet.IDLE:
-            client.leave()
+        if client.resting and client.connection.quiet() is Quiet.IDLE:
+            client.let_go()
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -328,6 +393,8 @@
             try:
                 request = await self._next_request(client)
                 if request is None:
+                    if client.parting:
+                        await self._part(client)
                     return
                 if client.ahead:
                     # Many at once on one connection: refused here, where it costs least.
@@ -337,19 +404,21 @@
             except BadRequest as bad:
                 if client.gone or not client.http.can_answer:
                     return
+                client.parting = True
                 reply = Reply(bad.status, bad.text.encode() + b"\n", list(bad.headers))
                 await client.send(client.http.whole(reply, close=True))
-                await self._part(client)
+                await self._part(client, owed=bad.status >= 500)
                 return
             except Exception:
                 # A fault in one exchange must lose neither the program nor this client's answer.
                 log.exception("exchange-fault")
                 if not client.gone and client.http.can_answer:
                     await client.send(client.http.whole(Reply(500, b"internal fault\n"), close=True))
+                    await self._part(client)
                 return
             if client.gone:
                 return
-            if not go_on or not client.http.reusable:
+            if not go_on or not client.http.reusable or client.overrun:
                 await self._part(client)
                 return
             client.next_cycle()
@@ -358,19 +427,22 @@
 
     async def _next_request(self, client: Client) -> Request | None:
         first = client.since == client.opened
-        if not first:
-            await client.readable()
+        if not first and not await client.rested():
+            return None
         patience = REQUEST_TIME if self._patience is None else self._patience
         with trio.move_on_at((client.opened if first else client.first_byte) + patience):
             return await client.request()
         raise BadRequest(408, "the request took too long")
 
-    async def _part(self, client: Client) -> None:
-        """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets."""
-        with suppress(OSError):
-            client.connection.sock.shutdown(socket.SHUT_WR)
-        if len(self.clients) > self._most // 2:
-            return  # a flood: its descriptors are needed more than the last word to it
+    async def _part(self, client: Client, owed: bool = True) -> None:
+        """Close after the last reply so that it arrives: with unread bytes waiting, a plain close resets.
+        `owed`: it answers a request that was in order."""
+        client.connection.end()
+        if not owed and len(self.clients) > self._most // 2:
+            # A flood: its descriptors are needed more than it is waited for. What is there already is taken.
+            with suppress(OSError):
+                client.connection.drop_now()
+            return
         with trio.move_on_after(PART_TIME):
             read = 0
             while not client.gone and read < PART_BYTES:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -217,6 +217,7 @@
         if self.decisions.pending:
             log.warning("last-call open=%d", self.decisions.pending)
             self.decisions.give_up()
+        self.listener.cut()
 
     # -- two runs of one dispatcher
 
@@ -434,6 +435,7 @@
             self.decisions.take(operation)
             job_class = self.config.settings.classes[operation.job_class].name
             client.operation, client.on_left, client.proven = operation, self.decisions.left, True
+            operation.has_left = client.has_left
             try:
                 async with client.watched(self.nursery):
                     if operation.trace is not None:
