Clients: the last look goes by the events that tell of an end, not by any event

Need: poll also answers POLLNVAL for a descriptor that it does not know; a client must not count as gone for that. Change: the look at a client's socket asks for POLLRDHUP, POLLHUP and POLLERR by name. No change on sockets as they are: test_endings, test_platform and test_progress pass.

--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -15,6 +15,7 @@
 
 RING = 8192
 _SCRATCH = bytearray(64 * 1024)  # where bytes go that nobody wants; shared, for nobody reads it
+ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -132,7 +133,7 @@
             return True
         poll = select.poll()  # not select(), which knows no descriptor over 1023
         poll.register(self.sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return any(event & ENDS for _, event in poll.poll(0))
 
     def end(self) -> None:
         """Say that nothing more is sent; what was sent before goes on its way."""
