Cold workers: the budget holds for the sum of all dispatchers, small parts are used

Cause, by an in-memory fleet (tests/test_cold.py; ten draws of slots and terms for each of five cases and of 1, 5, 20, 30 and 200 dispatchers, 750 cold workers in all): 57 of them were sent more than N + 2 sqrt(N) + 2 requests of mean work in a window, at worst by 3.2, 7.4, 22.7, 15.4 and 35.2 requests at these sizes. What the suspicions came to, each with its trial: - Undercharging (jobs.py, ClassState's first mean; choice.py and attempts.py, `job.run * job.need`): the budget was charged a guess from the aim, down to a tenth of the run time, until run times were seen, and with many dispatchers each sees few. This alone accounts for the breaches: with only this mended, 0 of 600 (1 to 30 dispatchers); with only the account mended, 102 of 600. - One whole job saved up at each dispatcher, and a window's budget twice (beliefs.py, `cold_room`: max(rate * window, work)): not shown to break the rule by itself; with run times known, 0 of 270 before the mend, a quiet time of three quarters of the warm-up and a burst. Retries are charged anew; breaches of `erring` are of the first cause too. Change: a job is charged the class's mean, with a mean as long as aim and deadline let it be counted as one of the runs seen, so that it fades. The account starts at a random point drawn from the settings' longest deadline, and what is over half a window's part wraps by whole jobs instead of being cut off at one: how many dispatchers hold a job at once no longer grows with their number, and the first go as early as the budget's flow lets them. Nothing saved is there at the start, nor after a restart. With test_rules, test_mechanism, test_reports and test_operators: 174 passed.

--- a/yewrill/policy/admission.py
+++ b/yewrill/policy/admission.py
@@ -26,11 +26,9 @@
     """Load levels from conditions (4) and (6), and how many rungs of the ladder are gapped."""
 
     def __init__(self, rng: random.Random):
-        self.level = 0
-        self.gapped = 0
+        self.level = self.gapped = self.passes = 0
         self.over = 0  # consecutive detections of overload
         self.severe = 0  # of these, the latest consecutive ones of severe overload
-        self.passes = 0
         self.changed = 0.0
         self.rungs = 1
         self.rng = rng
--- a/yewrill/policy/attempts.py
+++ b/yewrill/policy/attempts.py
@@ -46,7 +46,7 @@
         if job.key:
             w.fetched(job.key)
         if w.cold_from >= 0:
-            w.credit -= job.run * job.need
+            w.credit -= job.cold_work()
             attempt.warm = w.warmth()
 
     def arrive(self) -> None:
--- a/yewrill/policy/beliefs.py
+++ b/yewrill/policy/beliefs.py
@@ -13,6 +13,7 @@
 MISSING = 60.0  # a start notice later than this means that the job waits at the worker
 KEPT = 1.0  # keys that a worker is thought to keep, for each of its slots
 COLD_SAFETY = 0.5  # the part of the cold budget that is used
+COLD_SAVED = 0.5  # of that, what may be saved up, in windows
 
 
 @dataclass(eq=False, slots=True)
@@ -39,8 +40,9 @@
     usable: bool = False
     listed: bool = False
     cold_from: float = -1.0
-    credit: float = 0.0  # of the cold budget, and when it was worked out
+    credit: float = 0.0  # of the cold budget, when it was worked out, and since when it is saved up
     credit_at: float = 0.0
+    saved_from: float = 0.0
     inflight: float = 0.0  # slots held by our attempts, lost ones included for their expected time
     free: float = 0.0  # free slots by its last report, less what was sent since
     free_at: float = -1e18
@@ -167,10 +169,10 @@
         self.keys.clear()
         if fleet.now - since < fleet.settings.warm_after:
             self.cold_from = since
-            self.credit_at = fleet.now
+            self.credit_at = self.saved_from = fleet.now
             # Each dispatcher's part of the cold budget is often below one job: a random start of its
             # account lets the right number of dispatchers go first, without their agreeing.
-            self.credit = (fleet.rng.random() - 1.0) * fleet.longest_mean()
+            self.credit = fleet.rng.random() * max(spec.deadline for spec in fleet.settings.classes)
 
     def warmth(self) -> float:
         """The part of its capacity it has at least; 1 ends its time as a cold one."""
@@ -187,8 +189,13 @@
         s = self.fleet.settings
         now = self.fleet.now
         rate = s.cold_multiple * warm * self.kind.slots * COLD_SAFETY * self.part
-        self.credit = min(self.credit + (now - self.credit_at) * rate, max(rate * s.cold_window, work))
+        self.credit += (now - self.credit_at) * rate
         self.credit_at = now
+        # What is over wraps: were it cut to one job, all dispatchers would hold one after a quiet time. So
+        # the right number of them do, by the random start, and together hold what is kept, however many.
+        kept = rate * COLD_SAVED * min(s.cold_window, now - self.saved_from)
+        if self.credit > kept + work:
+            self.credit = kept + (self.credit - kept) % work
         return self.credit >= work
 
     # -- signs of life and their absence
@@ -220,15 +227,13 @@
         if self.fails:
             if self.refused and self.fails >= 3:
                 self.start_cold(self.fleet.now)
-            self.fails = 0
-            self.refused = False
+            self.fails, self.refused = 0, False
             self.blocked = min(self.blocked, self.fleet.now)
 
     def replaced(self, since: float) -> None:
         """Back from operators' hands, most likely as another process: nothing learned of it holds."""
         self.blocked = self.errors = self.seen = 0.0
-        self.fails = 0
-        self.refused = False
+        self.fails, self.refused = 0, False
         self.ratio = 1.0
         self.cap = self.kind.slots + 1.0
         self.free_at = -1e18
--- a/yewrill/policy/choice.py
+++ b/yewrill/policy/choice.py
@@ -80,11 +80,10 @@
             pace = w.pace()
             if w.cold_from >= 0:
                 warm = w.warmth()
-                if warm < 1.0:
-                    if not w.cold_room(job.run * job.need, warm):
-                        why = "cold budget"
-                        continue
-                    pace /= warm
+                if warm < 1.0 and not w.cold_room(job.cold_work(), warm):
+                    why = "cold budget"
+                    continue
+                pace /= warm
             finish = wait + job.run * pace
             if homes and w is not homes[0] and job.key not in w.keys:
                 finish += SETUP * (self.fleet.run_quantile or job.run)
--- a/yewrill/policy/dispatcher.py
+++ b/yewrill/policy/dispatcher.py
@@ -28,7 +28,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.out: list[api.Action] = []
-        self.fleet = Fleet(settings, seed, self.rng, lambda: max(c.mean for c in self.admission.classes))
+        self.fleet = Fleet(settings, seed, self.rng)
         self.admission = Admission(settings, self.rng, self.fleet)
         self.choice = Choice(self.fleet, self.admission)
         self.attempts = Attempts(self.fleet)
@@ -39,10 +39,8 @@
         self.ends: list[tuple[float, int, Job]] = []  # final answers due
         self.count = 0
         self.probe_credit = 1.0
-        self.ticking = False
-        self.held_armed = False
+        self.ticking = self.held_armed = self.stirred = False
         self.end_armed = -1.0
-        self.stirred = False
         self.watch_fails = 0
         self.on = {
             api.JobArrived: self._arrived,
@@ -220,10 +218,8 @@
     def _give_up(self, job: Job, why: str) -> None:
         """The final answer for a job without attempts out: a refusal where the rules allow one."""
         self._finish(job)
-        if job.may_refuse():
-            self.out.append(api.Refuse(job.id, self.settings.max_retry_after, why))
-        else:
-            self.out.append(api.Fail(job.id, why))
+        self.out.append(api.Refuse(job.id, self.settings.max_retry_after, why) if job.may_refuse()
+                        else api.Fail(job.id, why))
 
     def _finish(self, job: Job) -> None:
         if not job.done:
--- a/yewrill/policy/fleet.py
+++ b/yewrill/policy/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from yewrill import interface as api
 from yewrill import rendezvous
@@ -18,11 +18,9 @@
 
 
 class Fleet:
-    def __init__(self, settings: api.Settings, seed: int, rng: random.Random,
-                 longest_mean: Callable[[], float]):
+    def __init__(self, settings: api.Settings, seed: int, rng: random.Random):
         self.settings = settings
         self.rng = rng
-        self.longest_mean = longest_mean  # mean run time of the longest class
         self.place = random.Random(seed).random()  # of our window, where the settings give us no number
         self.now = 0.0
         # Without load reports, start notices alone tell how many slots a worker has.
@@ -132,12 +130,10 @@
         w = self.workers.get(entry.worker)
         if w is None:
             kind = self.kinds[entry.kind] if entry.kind < len(self.kinds) else self.kinds[0]
-            w = Worker(entry.worker, kind, entry.kind, entry.launched, self, kind.slots + 1.0,
-                       number=rendezvous.number(entry.worker))
-            self.workers[w.name] = w
-            if entry.launched > 0:
-                w.start_cold(entry.launched)
-        elif entry.launched != w.launched:
+            w = self.workers[entry.worker] = Worker(
+                entry.worker, kind, entry.kind, min(0.0, entry.launched), self, kind.slots + 1.0,
+                number=rendezvous.number(entry.worker))
+        if entry.launched != w.launched:
             w.launched = entry.launched
             w.start_cold(entry.launched)
             w.free_at = -1e18
@@ -156,12 +152,11 @@
             self.near[pool] = []
             self.far[pool] = []
         self.homes.clear()
-        zone = self.settings.zone
         cheap = self.settings.fees.get("cross_zone", 0.0) <= 0
         for w in self.workers.values():
             if w.usable:
                 w.kind.count += self.shares.get(w.zone, 1.0)
-                side = self.near if w.zone == zone or cheap else self.far
+                side = self.near if cheap or w.zone == self.settings.zone else self.far
                 for pool in (-1, w.kind_no):
                     if pool in side:
                         side[pool].append(w)
--- a/yewrill/policy/jobs.py
+++ b/yewrill/policy/jobs.py
@@ -7,6 +7,7 @@
 from yewrill import interface as api
 from yewrill.policy.beliefs import Worker
 
+LONGEST = 4.0  # times a class's aim: its mean run time is hardly above that
 KNOWN = 6  # run times seen of a class before its mean tells anything of a worker's speed
 
 
@@ -75,6 +76,13 @@
         self.last: Worker | None = None  # the worker that failed it last
         self.order = 0
 
+    def cold_work(self) -> float:
+        """What a cold worker's budget is charged. A first guess of run times may be a tenth of them: until
+        enough are seen, a mean as long as the class's terms let it be counts as one of them."""
+        run = self.run if self.hinted else self.cls.mean
+        longest = min(LONGEST * (self.spec.aim or self.spec.deadline), self.spec.deadline / 2)
+        return self.need * (run + max(0.0, longest - run) / (1 + self.cls.seen))
+
     def spent(self, now: float) -> bool:
         """Whether it may have run, and may not run again."""
         spec = self.spec
