Start: nothing imported that `run` has no use for, and no collector until all stands

Need: nine in ten restarted dispatchers ready within 10 s, also with many starting on one machine; a start's processor time is what that costs. Of it the imports are most: trio about half, ours the rest. Change: the progress front, the operators' door and the link of two runs are imported where they are configured; the garbage collector is off from the first line to the moment at which the service stands (it looked at what was being built again and again, and nearly all of that stays). What is left is trio, h11 and the module. A test names what must not be loaded; it fails without the change.

--- a/tests/test_basics.py
+++ b/tests/test_basics.py
@@ -1,4 +1,7 @@
-"""The module as a new user would first meet it."""
+"""The module as a new user would first meet it, and what a start of the program brings in."""
+
+import subprocess
+import sys
 
 from yewrill import Dispatcher, Settings
 from yewrill import interface as api
@@ -12,3 +15,13 @@
     assert [(a.job, a.worker) for a in sends] == [("j", "w1")]
     d.handle(50.0, [api.AttemptEnded("j", 0, "w1", api.SERVED, 45.0, True)])
     assert not d.jobs and not d.attempts.out
+
+
+def test_what_the_platform_starts_imports_nothing_that_it_has_no_use_for():
+    code = "import sys, yewrill.__main__; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.split()
+    assert "yewrill.service" in loaded
+    unused = {"click", "msgpack", "msgspec", "structlog", "google_crc32c", "yewrill.cli",
+              "yewrill.configwrite", "yewrill.fronts.progress", "yewrill.net.door", "yewrill.net.handover",
+              "yewrill.keeping", "yewrill.traced"}
+    assert not unused & set(loaded)
--- a/yewrill/__main__.py
+++ b/yewrill/__main__.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
-import os
-import sys
+import gc
 
-from yewrill.config import ENV_CONFIG, ConfigError, load_config
-from yewrill.service import serve
+gc.disable()  # nearly all that a start makes stays for good; `Service.run` looks at it once and turns it on
+
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from yewrill.config import ENV_CONFIG, ConfigError, load_config  # noqa: E402
+from yewrill.service import serve  # noqa: E402
 
 
 def main() -> int:
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -21,23 +21,22 @@
 from yewrill.facade import BusyReply, Decisions, Operation, RouteStep
 from yewrill.figures import ERROR, OVERLOAD, SUCCESS, Figures
 from yewrill.fronts.platform import PlatformFront, Reader
-from yewrill.fronts.progress import ProgressFront
 from yewrill.hooks import Around, Hook, hooks_of
 from yewrill.logs import logging_to, of_operation
 from yewrill.net.destinations import DestinationPool
-from yewrill.net.door import Call, Door
-from yewrill.net.handover import HandOver, link_path
 from yewrill.net.http import BadRequest, Reply, Request
 from yewrill.net.listener import Client, Listener
 from yewrill.net.poolconfig import PoolConfig, Watch
 
 if TYPE_CHECKING:
+    from yewrill.fronts.progress import ProgressFront
     from yewrill.keeping import Keeper
+    from yewrill.net.door import Call, Door
+    from yewrill.net.handover import HandOver
     from yewrill.traced import Traced
 
 log = logging.getLogger("yewrill")
 
-FRONTS = {"platform": PlatformFront, "progress": ProgressFront}
 READY_PATH = "/up"
 # What a reload changes; all else stands for as long as the program runs.
 RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms", "settings", "places", "stated",
@@ -74,7 +73,7 @@
         self.watch = Watch(config.discovery, self.pool, config.seed, _callers(config))
         self.figures = Figures()
         self.figures.know(c.name for c in config.settings.classes)
-        self.front = FRONTS[config.front](Reader(config.settings, config.answer_margin_ms))
+        self.front = _front(config)
         clients, destinations = _parts(config.limits.sockets)
         self.destinations = DestinationPool(
             self.decisions, self.pool, self.front, most=destinations,
@@ -92,7 +91,11 @@
                         self.destinations.attempt if self.keeper is None else self._kept_attempt)
         self.hooks = hooks_of(config, around)
         self._attempt = around.attempt
-        self.door = Door(config.mgmt, self._calls()) if config.mgmt is not None else None
+        self.door: Door | None = None
+        if config.mgmt is not None:
+            from yewrill.net.door import Door
+
+            self.door = Door(config.mgmt, self._calls())
         self.traced: Traced | None = None  # told of every operation
         if config.tracing is not None:
             from yewrill.traced import Traced
@@ -100,6 +103,8 @@
             self.traced = Traced(config)
         self.handover: HandOver | None = None
         if config.inherited_fd is not None and config.link_dir is not None:
+            from yewrill.net.handover import HandOver, link_path
+
             self.handover = HandOver(link_path(config.link_dir, config.name, config.listen),
                                      state=self._known_here, hear=self._hear, alone=self._bound)
 
@@ -139,6 +144,7 @@
             gc.collect()
             gc.freeze()
             gc.set_threshold(20_000, 20, 50)
+            gc.enable()  # it was off until here where the platform starts us
             await self.listener.run()
             log.info("drained")
             nursery.cancel_scope.cancel()
@@ -314,6 +320,8 @@
     # -- what operators ask
 
     def _calls(self) -> dict[str, Call]:
+        from yewrill.net.door import Call
+
         return {
             "/_ready": Call("GET", self._ready),
             "/_vars": Call("GET", self._vars),
@@ -510,6 +518,15 @@
     return Reply(200, what + (b"\n" if kept else NOT_KEPT))
 
 
+def _front(config: Config) -> PlatformFront | ProgressFront:
+    reader = Reader(config.settings, config.answer_margin_ms)
+    if config.front == "platform":
+        return PlatformFront(reader)
+    from yewrill.fronts.progress import ProgressFront
+
+    return ProgressFront(reader)
+
+
 def _callers(config: Config) -> int:
     """How many call the same discovery: all dispatchers where it is asked, we alone where it is pushed."""
     return config.settings.dispatchers if config.settings.list_on_request else 1
