Listener: no eviction while an answer is still on its way; more stories of bad clients

Cause: `_evict` took a kept connection for idle as soon as its answer was written to the system. A next request that crossed the close reset the connection, and what its client had not taken yet of that answer was lost. Ruled out: the unread request alone (passed over already: here it comes after the look). At fault: net/listener.py, `_evict`, the choice of the kept connection. Change: who has not acknowledged all of its last answer (the system's own count, TIOCOUTQ) is passed over, for as long as a reply may take (`SEND_TIME`), so that one who takes nothing is no shelter.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -403,6 +403,22 @@
         assert not sent_for([peer])
 
 
+@FRONTS
+@story
+async def test_a_client_that_half_closes_has_gone(front, monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        await keep_connections(w, gate, peer, 1)
+        [client] = await asking(w, 1)
+        await w.until(lambda: gate.held == 1)
+        as_a_line_is_taken(monkeypatch, lambda: client.stream.socket.shutdown(socket.SHUT_WR))
+        gate.open("d1")
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(peer) == []
+
+
 # -- the listener's own closes
 
 
@@ -519,6 +535,32 @@
         assert await client.stream.receive_some() == b""
 
 
+@story
+async def test_an_eviction_passes_over_a_client_that_has_not_taken_all_of_its_answer(monkeypatch):
+    peer = Peer("d1", much)
+    async with world(peer, settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        w.service.listener._evict()  # it is the only one to give way
+        client.stream.socket._sock.send(raw_request("r2"))  # its next request crosses that
+        assert len((await client.reply()).body) == len(WHOLE)
+        assert (await client.event()).status_code == 200
+        assert [e.id for e in peer.exchanges] == ["r1", "r2"]
+        await client.stream.aclose()
+
+
+@timed_story
+async def test_a_client_that_takes_nothing_of_its_answer_gives_way_in_the_end(monkeypatch):
+    monkeypatch.setattr(listener, "SEND_TIME", 0.3)
+    async with world(Peer("d1", much), settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        await w.until(w.service.listener._evict)
+        await client.stream.aclose()
+
+
 # -- a drain
 
 
@@ -755,6 +797,36 @@
         await client.stream.aclose()
 
 
+@pytest.mark.parametrize("given", ["nan", "inf", "1e3", "0x10", "+5", "1_000", "86400001", "00", ""])
+@FRONTS
+@story
+async def test_a_deadline_that_is_no_number_of_milliseconds_is_refused_before_the_core(front, given):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        assert (await w.ask(X_Timeout_Ms=given)).status == 400
+        assert not peer.exchanges and not w.service.decisions.pending and not w.service._open
+
+
+@pytest.mark.parametrize("framing", ["chunked", "in one piece"])
+@FRONTS
+@story
+async def test_a_body_over_64_kib_is_refused_however_it_comes_and_its_client_reads_why(front, framing):
+    head = raw_request("r1").partition(b"Content-Length")[0]
+    if framing == "chunked":
+        raw = head + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 5
+    else:
+        raw = head + b"Content-Length: 81920\r\n\r\n" + b"x" * 81920
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        client = await w.client()
+        client.stream.socket._sock.send(raw)
+        said = b""
+        while b"\r\n\r\n" not in said:
+            said += await client.stream.receive_some()
+        assert said.startswith(b"HTTP/1.1 413 ") and not peer.exchanges
+        await client.stream.aclose()
+
+
 # -- workers
 
 
@@ -917,3 +989,23 @@
         assert (await w.ask(X_Request_ID="r1", **LONG)).status == 200
         assert blameless(w, peer)
         assert [e.id for p in (peer, other) for e in p.exchanges] == ["r0", "r1"]
+
+
+@story
+async def test_at_the_bound_of_workers_connections_a_job_is_refused_and_none_is_lost(monkeypatch):
+    async def waits(exchange):
+        await go_on.wait()
+        await exchange.done()
+
+    go_on, peers = trio.Event(), [Peer("d1", waits), Peer("d2", waits)]
+    async with world(*peers, settings=ROOMY) as w:
+        w.service.destinations.limit(1)
+        first = await w.client()
+        await first.send(**LONG)
+        await w.until(lambda: any(p.exchanges for p in peers))
+        assert (await w.ask("/once", X_Request_ID="r2", **LONG)).status == 503  # it never ran
+        assert w.service.destinations.open == 1
+        go_on.set()
+        assert (await first.reply()).status == 200
+        assert (await w.ask("/once", X_Request_ID="r3", **LONG)).status == 200
+        assert w.service.destinations.open == 1
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum
@@ -126,6 +129,13 @@
         except OSError:
             return Quiet.ENDED
 
+    def on_its_way(self) -> int:
+        """Bytes that the system has taken and the peer's has not acknowledged."""
+        try:
+            return struct.unpack("i", fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(4)))[0]
+        except OSError:
+            return 0
+
     def ended(self) -> bool:
         """Whether the peer has closed or reset by now, also where that still lies behind unread bytes."""
         if self.closed:
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -308,14 +308,17 @@
         """Have clients give way that have nothing under way. First those that have never had a job carried,
         after a while, and several at once: of them a flood is made. Then the kept connection that has stood
         idle for longest, as the protocol allows. Whoever's bytes lie unread in the system is passed over: it
-        may be a whole request, which a close would reset."""
-        settled = trio.current_time() - SETTLED
+        may be a whole request, which a close would reset. So is, for as long as a reply may take, who has not
+        taken all of its last answer: a request that crosses the close would kill it."""
+        now = trio.current_time()
+        settled, latest = now - SETTLED, now - SEND_TIME
         unproven = [c for c in self.clients if not c.proven and not c.answering]
         going = self._longest_idle([c for c in unproven if c.since < settled], max(1, self._most // 32))
         if not going and len(unproven) > self._most // 8:
             return False  # new ones wait the moment until these have had their time
         if not going:
-            going = self._longest_idle([c for c in self.clients if c.proven and c.resting], 1)
+            going = self._longest_idle([c for c in self.clients if c.proven and c.resting
+                                        and (c.since < latest or not c.connection.on_its_way())], 1)
         for client in going:
             client.leave()
             self._forget(client)
