Service: a signal that comes again while everything is closed no longer ends the program

Cause: signals were listened to inside the nursery that ends with the last client. A second SIGTERM after that, while traces are flushed and the store is closed, met the default: the program died amid its closes. Ruled out: signals during the drain (ignored already, as a story shows). At fault: service.py, `run`, `nursery.start(self._on_signal, nursery)`. Change: the listening has a nursery of its own around all that, and is ended last, after three turns of the loop in which a signal of the last instant is heard.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -403,6 +403,27 @@
         assert not sent_for([peer])
 
 
+@FRONTS
+@story
+async def test_a_client_that_leaves_as_its_attempts_record_is_written_has_nothing_sent(front):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+        await w.until(lambda: w.service.destinations._idle.get("d1"))
+        client, promised = await w.client(), []
+
+        async def promise(step):
+            if not promised:
+                hang_up(client)
+            promised.append(step)
+
+        w.service.destinations.promise = promise
+        await client.send(**LONG)
+        await w.until(lambda: promised and not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer])
+
+
 @FRONTS
 @story
 async def test_a_client_that_half_closes_has_gone(front, monkeypatch):
@@ -740,6 +761,29 @@
             signal.signal(number, handler)
 
 
+@story
+async def test_a_signal_that_comes_again_as_everything_is_closed_kills_nobody():
+    stray = []
+    previous = {number: signal.signal(number, lambda number, _: stray.append(number))
+                for number in (signal.SIGTERM, signal.SIGINT)}
+    try:
+        async with world(Peer("d1", done), signals=True, timing={"linger_ms": 20, "grace_ms": 1000}) as w:
+            real = w.service.destinations.close
+
+            def closes():
+                os.kill(os.getpid(), signal.SIGTERM)  # the listener is done, the rest is about to be closed
+                os.kill(os.getpid(), signal.SIGINT)
+                real()
+
+            w.service.destinations.close = closes
+            os.kill(os.getpid(), signal.SIGTERM)
+            await w.ended.wait()
+            assert not stray  # nothing was left to whoever had the signals before
+    finally:
+        for number, handler in previous.items():
+            signal.signal(number, handler)
+
+
 @story
 async def test_the_backlog_at_the_listeners_close_is_served_and_beyond_the_bound_it_is_reset():
     peer = Peer("d1", done)
@@ -827,6 +871,22 @@
         await client.stream.aclose()
 
 
+@FRONTS
+@timed_story
+async def test_a_flood_of_half_requests_takes_no_place_from_those_that_work(front, monkeypatch):
+    monkeypatch.setattr(listener, "SETTLED", 0.05)
+    async with world(Peer("d1", done), front=front, limits={"sockets": 80}) as w:
+        flood = []
+        for i in range(4):
+            for _ in range(40):
+                flood.append(await w.client())
+                flood[-1].stream.socket._sock.send(HALF)
+            assert (await w.ask(X_Request_ID=f"n{i}")).status == 200
+            assert len(w.service.listener.clients) <= 22
+        for client in flood:
+            client.stream.socket.close()
+
+
 # -- workers
 
 
@@ -1009,3 +1069,15 @@
         assert (await first.reply()).status == 200
         assert (await w.ask("/once", X_Request_ID="r3", **LONG)).status == 200
         assert w.service.destinations.open == 1
+
+
+@timed_story
+async def test_a_worker_that_takes_no_more_until_the_deadline_never_gets_the_last_byte(monkeypatch):
+    peer = Reluctant("d1", done)
+    async with world(peer, timing={"answer_margin_ms": 400}) as w:
+        open_with_little_room(monkeypatch)
+        reply = await w.ask("/once", body=b"x" * 60000, X_Timeout_Ms="900")
+        assert reply.status in (502, 503)
+        peer.reads.set()
+        await peer.ended.wait()
+        assert not peer.exchanges
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -110,6 +110,15 @@
             self.pool.apply(dict(self.config.known), cached=True)
         kept = await self._open_state()
         self.decisions.tick()
+        async with trio.open_nursery() as listening:
+            await self._serve(kept, listening if signals else None, task_status)
+            for _ in range(3):  # a signal that came in the last instant is still heard, not left to kill us
+                await trio.lowlevel.checkpoint()
+            listening.cancel_scope.cancel()
+
+    async def _serve(self, kept: dict[str, Any] | None, listening: trio.Nursery | None,
+                     task_status: trio.TaskStatus[Service]) -> None:
+        """`listening`: where signals are listened to, until everything else is closed too."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             if self.keeper is not None:
@@ -125,8 +134,8 @@
                 log.info("door listen=%s:%d", *self.door.address)
             for hook in self.hooks:
                 nursery.start_soon(_keep, hook.run)
-            if signals:
-                await nursery.start(self._on_signal, nursery)
+            if listening is not None:
+                await listening.start(self._on_signal, nursery)
             await self._join()
             self.serving = True
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
