Service: enough turns at the end for every kind of signal to be heard

At fault: service.py, `run`, the turns before the listening ends. Change: ten turns: two for a signal to get there, one for each of three kinds, and some to spare.

--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -49,6 +49,9 @@
 # After the operators' drain began, in seconds: from when on answers close their connections, and idle ones
 # go, then those that fall idle for a while.
 LAME_CLOSING, LAME_IDLE, LAME_AGE = 0.2, 1.2, 0.3
+# Turns of the loop in which signals that have come are heard: two for them to get there, one for each of
+# three kinds, and some to spare.
+LAST_TURNS = 10
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
@@ -112,7 +115,7 @@
         self.decisions.tick()
         async with trio.open_nursery() as listening:
             await self._serve(kept, listening if signals else None, task_status)
-            for _ in range(3):  # a signal that came in the last instant is still heard, not left to kill us
+            for _ in range(LAST_TURNS):  # a signal of the last instant is still heard, not left to kill us
                 await trio.lowlevel.checkpoint()
             listening.cancel_scope.cancel()
 
