--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -403,6 +403,43 @@
         assert not sent_for([peer])
 
 
+@FRONTS
+@story
+async def test_a_client_that_leaves_as_its_attempts_record_is_written_has_nothing_sent(front):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
+        await w.until(lambda: w.service.destinations._idle.get("d1"))
+        client, promised = await w.client(), []
+
+        async def promise(step):
+            if not promised:
+                hang_up(client)
+            promised.append(step)
+
+        w.service.destinations.promise = promise
+        await client.send(**LONG)
+        await w.until(lambda: promised and not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert not sent_for([peer])
+
+
+@FRONTS
+@story
+async def test_a_client_that_half_closes_has_gone(front, monkeypatch):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        gate = Gate(w, monkeypatch)
+        await keep_connections(w, gate, peer, 1)
+        [client] = await asking(w, 1)
+        await w.until(lambda: gate.held == 1)
+        as_a_line_is_taken(monkeypatch, lambda: client.stream.socket.shutdown(socket.SHUT_WR))
+        gate.open("d1")
+        await w.until(lambda: not w.service.listener.clients)
+        assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
+        assert left_ones(peer) == []
+
+
 # -- the listener's own closes
 
 
@@ -519,6 +556,32 @@
         assert await client.stream.receive_some() == b""
 
 
+@story
+async def test_an_eviction_passes_over_a_client_that_has_not_taken_all_of_its_answer(monkeypatch):
+    peer = Peer("d1", much)
+    async with world(peer, settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        w.service.listener._evict()  # it is the only one to give way
+        client.stream.socket._sock.send(raw_request("r2"))  # its next request crosses that
+        assert len((await client.reply()).body) == len(WHOLE)
+        assert (await client.event()).status_code == 200
+        assert [e.id for e in peer.exchanges] == ["r1", "r2"]
+        await client.stream.aclose()
+
+
+@timed_story
+async def test_a_client_that_takes_nothing_of_its_answer_gives_way_in_the_end(monkeypatch):
+    monkeypatch.setattr(listener, "SEND_TIME", 0.3)
+    async with world(Peer("d1", much), settings=ROOMY) as w:
+        client = await narrow_client(w)
+        await client.send(**LONG)
+        await w.until(lambda: any(c.proven and not c.answering for c in w.service.listener.clients))
+        await w.until(w.service.listener._evict)
+        await client.stream.aclose()
+
+
 # -- a drain
 
 
@@ -698,6 +761,29 @@
             signal.signal(number, handler)
 
 
+@story
+async def test_a_signal_that_comes_again_as_everything_is_closed_kills_nobody():
+    stray = []
+    previous = {number: signal.signal(number, lambda number, _: stray.append(number))
+                for number in (signal.SIGTERM, signal.SIGINT)}
+    try:
+        async with world(Peer("d1", done), signals=True, timing={"linger_ms": 20, "grace_ms": 1000}) as w:
+            real = w.service.destinations.close
+
+            def closes():
+                os.kill(os.getpid(), signal.SIGTERM)  # the listener is done, the rest is about to be closed
+                os.kill(os.getpid(), signal.SIGINT)
+                real()
+
+            w.service.destinations.close = closes
+            os.kill(os.getpid(), signal.SIGTERM)
+            await w.ended.wait()
+            assert not stray  # nothing was left to whoever had the signals before
+    finally:
+        for number, handler in previous.items():
+            signal.signal(number, handler)
+
+
 @story
 async def test_the_backlog_at_the_listeners_close_is_served_and_beyond_the_bound_it_is_reset():
     peer = Peer("d1", done)
@@ -755,6 +841,52 @@
         await client.stream.aclose()
 
 
+@pytest.mark.parametrize("given", ["nan", "inf", "1e3", "0x10", "+5", "1_000", "86400001", "00", ""])
+@FRONTS
+@story
+async def test_a_deadline_that_is_no_number_of_milliseconds_is_refused_before_the_core(front, given):
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        assert (await w.ask(X_Timeout_Ms=given)).status == 400
+        assert not peer.exchanges and not w.service.decisions.pending and not w.service._open
+
+
+@pytest.mark.parametrize("framing", ["chunked", "in one piece"])
+@FRONTS
+@story
+async def test_a_body_over_64_kib_is_refused_however_it_comes_and_its_client_reads_why(front, framing):
+    head = raw_request("r1").partition(b"Content-Length")[0]
+    if framing == "chunked":
+        raw = head + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 5
+    else:
+        raw = head + b"Content-Length: 81920\r\n\r\n" + b"x" * 81920
+    peer = Peer("d1", done)
+    async with world(peer, front=front, settings=ROOMY) as w:
+        client = await w.client()
+        client.stream.socket._sock.send(raw)
+        said = b""
+        while b"\r\n\r\n" not in said:
+            said += await client.stream.receive_some()
+        assert said.startswith(b"HTTP/1.1 413 ") and not peer.exchanges
+        await client.stream.aclose()
+
+
+@FRONTS
+@timed_story
+async def test_a_flood_of_half_requests_takes_no_place_from_those_that_work(front, monkeypatch):
+    monkeypatch.setattr(listener, "SETTLED", 0.05)
+    async with world(Peer("d1", done), front=front, limits={"sockets": 80}) as w:
+        flood = []
+        for i in range(4):
+            for _ in range(40):
+                flood.append(await w.client())
+                flood[-1].stream.socket._sock.send(HALF)
+            assert (await w.ask(X_Request_ID=f"n{i}")).status == 200
+            assert len(w.service.listener.clients) <= 22
+        for client in flood:
+            client.stream.socket.close()
+
+
 # -- workers
 
 
@@ -917,3 +1049,35 @@
         assert (await w.ask(X_Request_ID="r1", **LONG)).status == 200
         assert blameless(w, peer)
         assert [e.id for p in (peer, other) for e in p.exchanges] == ["r0", "r1"]
+
+
+@story
+async def test_at_the_bound_of_workers_connections_a_job_is_refused_and_none_is_lost(monkeypatch):
+    async def waits(exchange):
+        await go_on.wait()
+        await exchange.done()
+
+    go_on, peers = trio.Event(), [Peer("d1", waits), Peer("d2", waits)]
+    async with world(*peers, settings=ROOMY) as w:
+        w.service.destinations.limit(1)
+        first = await w.client()
+        await first.send(**LONG)
+        await w.until(lambda: any(p.exchanges for p in peers))
+        assert (await w.ask("/once", X_Request_ID="r2", **LONG)).status == 503  # it never ran
+        assert w.service.destinations.open == 1
+        go_on.set()
+        assert (await first.reply()).status == 200
+        assert (await w.ask("/once", X_Request_ID="r3", **LONG)).status == 200
+        assert w.service.destinations.open == 1
+
+
+@timed_story
+async def test_a_worker_that_takes_no_more_until_the_deadline_never_gets_the_last_byte(monkeypatch):
+    peer = Reluctant("d1", done)
+    async with world(peer, timing={"answer_margin_ms": 400}) as w:
+        open_with_little_room(monkeypatch)
+        reply = await w.ask("/once", body=b"x" * 60000, X_Timeout_Ms="900")
+        assert reply.status in (502, 503)
+        peer.reads.set()
+        await peer.ended.wait()
+        assert not peer.exchanges
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -48,6 +48,9 @@
 # After the operators' drain began, in seconds: from when on answers close their connections, and idle ones
 # go, then those that fall idle for a while.
 LAME_CLOSING, LAME_IDLE, LAME_AGE = 0.2, 1.2, 0.3
+# Turns of the loop in which signals that have come are heard: two for them to get there, one for each of
+# three kinds, and some to spare.
+LAST_TURNS = 10
 AFTER_FAULT = 0.1  # seconds before a task that failed goes on
 # Shares of the descriptors: the rest is for the log, discovery, the listener and the event loop itself.
 CLIENT_PART, DESTINATION_PART, SPARE = 0.55, 0.45, 40
@@ -115,6 +118,15 @@
             self.pool.apply(dict(self.config.known), cached=True)
         kept = await self._open_state()
         self.decisions.tick()
+        async with trio.open_nursery() as listening:
+            await self._serve(kept, listening if signals else None, task_status)
+            for _ in range(LAST_TURNS):  # a signal of the last instant is still heard, not left to kill us
+                await trio.lowlevel.checkpoint()
+            listening.cancel_scope.cancel()
+
+    async def _serve(self, kept: dict[str, Any] | None, listening: trio.Nursery | None,
+                     task_status: trio.TaskStatus[Service]) -> None:
+        """`listening`: where signals are listened to, until everything else is closed too."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             if self.keeper is not None:
@@ -130,8 +142,8 @@
                 log.info("door listen=%s:%d", *self.door.address)
             for hook in self.hooks:
                 nursery.start_soon(_keep, hook.run)
-            if signals:
-                await nursery.start(self._on_signal, nursery)
+            if listening is not None:
+                await listening.start(self._on_signal, nursery)
             await self._join()
             self.serving = True
             log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
