Endings: a keyed job's window over sockets, SIGTERM while discovery is silent

Need: two rows of the table had no test over sockets. The second starts the real program, with a list and without one.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,8 @@
 import trio
 import trio.testing
 import ujson
-from helper import SETTINGS, Client, Peer, done, story, timed_story, world
+from helper import SETTINGS, Client, Discovery, Peer, done, story, timed_story, world
+from test_state import program
 
 from yewrill import interface as api
 from yewrill.net import listener
@@ -1081,3 +1082,49 @@
         peer.reads.set()
         await peer.ended.wait()
         assert not peer.exchanges
+
+
+@pytest.mark.parametrize("after, again", [(1.0, True), (4.8, False)])
+@timed_story
+async def test_a_keyed_job_that_may_have_run_is_sent_again_only_inside_its_window(after, again):
+    async def dies_late(exchange):
+        if len(peers[0].exchanges) + len(peers[1].exchanges) > 1:
+            await exchange.done()
+        else:
+            await trio.sleep(after)
+            exchange.reset()
+
+    peers = [Peer("d1", dies_late), Peer("d2", dies_late)]  # of one cell, so the group allows it
+    roomy = {"request_classes": [{**c, "aim": 16000.0} for c in ROOMY["request_classes"]]}  # time for either
+    async with world(*peers, settings=roomy) as w:
+        reply = await w.ask("/save", Idempotency_Key="k1", **LONG)
+        assert reply.status == (200 if again else 502)  # not a refusal: that would say that it never ran
+        assert sent_for(peers) == (2 if again else 1)
+
+
+@pytest.mark.parametrize("known", [True, False])
+@story
+async def test_sigterm_while_discovery_is_silent_ends_the_program_in_order(known, tmp_path):
+    async def silent(exchange):
+        await exchange.closed()
+
+    peer = Peer("d1", done)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(peer.serve)
+        discovery = Discovery([peer])
+        config = tmp_path / "config.json"
+        raw = {"listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS}
+        if known:
+            raw["known"] = {"version": 1, "full": True, "servers": [peer.entry()]}
+        config.write_text(ujson.dumps(raw))
+        discovery.peer.script = silent
+        async with program(nursery, config) as running:
+            while not discovery.peer.exchanges:
+                await trio.sleep(0.005)
+            # What it was asked before the signal has its answer all the same.
+            reply = await running.ask(X_Request_ID="r1")
+            assert reply.status == (200 if known else 503)
+            running.process.terminate()
+            assert await running.process.wait() == 0
+            assert any("drained" in line for line in running.lines)
+        nursery.cancel_scope.cancel()
