Workers: a bare answer that comes a second time is not taken for the next attempt's

Cause: an answer of a status alone names no job. Ruled out: answers with lines, whose id is held against the job's; the look before the write (the second answer comes after it). At fault: net/destinations.py, `_take`, which took the connection used last in the very turn it came back. Change: a connection whose last answer was a bare status, or a probe's, rests for 50 ms before the next job; what comes meanwhile is stray bytes, which the look finds. Other idle connections are used in the meantime. Result: a story on the virtual clock: the attempt turned away at 0 ms, the next one out at 20 ms, the second 503 at 40 ms; without the change the unsafe job reached its worker three times, with it twice, once to run.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,11 +10,12 @@
 import struct
 from contextlib import suppress
 
+import h11
 import pytest
 import trio
 import trio.testing
 import ujson
-from helper import SETTINGS, Client, Discovery, Peer, done, story, timed_story, world
+from helper import SETTINGS, Client, Discovery, Exchange, Peer, done, story, timed_story, world
 from test_state import program
 
 from yewrill import interface as api
@@ -1128,3 +1129,44 @@
             assert await running.process.wait() == 0
             assert any("drained" in line for line in running.lines)
         nursery.cancel_scope.cancel()
+
+
+@timed_story
+async def test_a_second_answer_without_an_id_is_not_taken_for_the_next_attempts():
+    async def answers_twice(exchange):
+        if exchange.number:
+            await trio.sleep(0.1)
+            await exchange.done()
+            return
+        await exchange.status(503, "X-Not-Processed: 1")
+        await trio.sleep(0.04)  # the next attempt has begun by then, and it runs
+        await exchange.status(503, "X-Not-Processed: 1")
+
+    class Doubled(Peer):
+        async def _converse(self, stream):
+            """Read the next request in the meantime, as a worker does whose answer went out twice."""
+            async with trio.open_nursery() as nursery:
+                parser = h11.Connection(h11.SERVER)
+                with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                    while True:
+                        while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+                            if event is h11.NEED_DATA:
+                                parser.receive_data(data := await stream.receive_some())
+                                if not data:
+                                    break
+                            elif isinstance(event, h11.Request):
+                                request = event
+                        else:
+                            exchange = Exchange(stream, request, b"", len(self.exchanges), self.front)
+                            self.exchanges.append(exchange)
+                            nursery.start_soon(answers_twice, exchange)
+                            parser = h11.Connection(h11.SERVER)
+                            continue
+                        break
+                nursery.cancel_scope.cancel()
+
+    peer = Doubled("d1", done)
+    told = {"specifics": {"tells_start": True, "progress": 0.0}}  # so that the next attempt follows soon
+    async with world(peer, settings=told) as w:
+        assert (await w.ask("/once")).status == 200
+        assert sent_for([peer]) == 2  # one turned away, and one that ran
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -29,6 +29,9 @@
 # After a kept connection has proved worn, a destination gets only new ones for this long, longer each time.
 DISTRUST, MOST_DISTRUST = 5.0, 60.0
 SETTLE = 0.25  # how long an answered exchange may take to end before its connection is given up
+# An answer that names no job may come a second time some milliseconds later, and nothing would tell it from
+# the next job's: so its connection carries none until then.
+REST = 0.05
 
 
 class Garbled(Exception):
@@ -75,6 +78,7 @@
     address: tuple[str, int]
     idle_since: float = 0.0
     kept: bool = False  # it has carried an exchange before
+    rests_until: float = 0.0
 
 
 def _client_gone(operation: Operation) -> bool:
@@ -193,6 +197,7 @@
         response = await line.http.response()
         status = response.status_code
         if status != 200:
+            line.rests_until = trio.current_time() + REST
             for name, value in response.headers:
                 if name == b"x-server-load":
                     step.load = loadreport.from_header(value.decode("latin-1"))
@@ -245,6 +250,7 @@
                 path = LOAD_PATH if self._decisions.reports_load else PROBE_PATH
                 await line.http.connection.send(line.http.encode("GET", path, [("Host", "destination")]))
                 response = await line.http.response()
+                line.rests_until = trio.current_time() + REST
                 if self._decisions.reports_load and response.status_code == 200:
                     with suppress(ValueError):
                         load = ujson.loads(await line.http.body(MOST_REPORT))
@@ -279,13 +285,20 @@
         """An idle connection that is young, quiet and leads to the present address; the latest used first."""
         if self._settling and not self._idle.get(destination.id):
             self._settle()
-        idle = self._idle.get(destination.id)
+        now, resting = trio.current_time(), []
+        idle = self._idle.get(destination.id, [])
         while idle:
             line = idle.pop()
-            fresh = trio.current_time() - line.idle_since < self._keep
-            if fresh and line.address == destination.address and line.http.connection.quiet() is Quiet.IDLE:
+            fresh = now - line.idle_since < self._keep
+            usable = fresh and line.address == destination.address
+            if not usable or line.http.connection.quiet() is not Quiet.IDLE:
+                self._drop(line)
+            elif line.rests_until > now:
+                resting.append(line)
+            else:
+                idle += reversed(resting)
                 return line
-            self._drop(line)
+        idle += reversed(resting)
         return None
 
     def _worn(self, name: str) -> None:
