--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -57,6 +57,15 @@
     return peer.entry()
 
 
+async def meets(w, peer, trouble):
+    """End the call that is out and have the next one meet the trouble. Returns what a well discovery does."""
+    well, w.discovery.peer.script = w.discovery.peer.script, trouble
+    w.discovery.tell(peer.entry())
+    met = len(w.discovery.peer.exchanges)
+    await w.until(lambda: len(w.discovery.peer.exchanges) > met)
+    return well
+
+
 async def seconds_until_known(w, peer) -> float:
     began = trio.current_time()
     with trio.fail_after(2 * TOLD):
@@ -72,10 +81,7 @@
     # As many dispatchers as spread furthest, and the trouble over in different moments of its calls.
     peer = Peer("d1", done)
     async with world(peer, settings=MANY) as w:
-        well, w.discovery.peer.script = w.discovery.peer.script, trouble
-        w.discovery.tell(peer.entry())  # ends the call that is out; the next one meets the trouble
-        met = len(w.discovery.peer.exchanges)
-        await w.until(lambda: len(w.discovery.peer.exchanges) > met)
+        well = await meets(w, peer, trouble)
         await trio.sleep(left)
         w.discovery.peer.script = well
         w.discovery.tell(drains(peer), full=True)
@@ -86,10 +92,7 @@
 async def test_a_watch_that_falls_silent_is_opened_anew_in_time_from_its_first_moment_on():
     peer = Peer("d1", done)
     async with world(peer, settings=MANY) as w:
-        well, w.discovery.peer.script = w.discovery.peer.script, silent
-        w.discovery.tell(peer.entry())
-        met = len(w.discovery.peer.exchanges)
-        await w.until(lambda: len(w.discovery.peer.exchanges) > met)
+        well = await meets(w, peer, silent)
         # The watch is open and never hears a word; every later call is answered.
         w.discovery.peer.script = well
         w.discovery.tell(drains(peer), full=True)
