--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -244,7 +244,7 @@
     peers = [Peer(f"d{i}", odd, cell=i % 2) for i in range(8)]
     async with world(*peers, front="progress", timing={"linger_ms": 1000}) as w:
         slots = trio.Semaphore(40)
-        # Whether the flood alone has a stream refused is chance: the first one meets no worker that takes work.
+        # Whether the flood has a stream refused is chance: the first one meets no worker that takes work.
         w.discovery.tell(*({**p.entry(), "state": "DRAINING"} for p in peers))
         await w.until(lambda: w.service.pool.version == 2)
         reply, events = await ask(w, X_Request_ID="r0")
