--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -82,14 +82,24 @@
             counts.update(line["what"] for line in history)
             if (after := left_after(history)) is not None:
                 seconds.append(after)
-    print(f"{len(names)} scenarios, {len(seeds)} seeds: {counts['sent']} requests, {counts['begin']} "
-          f"attempts, {counts['plan']} plans taken")
-    print(json.dumps({
-        "runs": len(names) * len(seeds), "breaches": sum(breaches.values()), "kinds": dict(breaches),
-        "unfinished": unfinished, "requests": counts["sent"],
-        "left_s": round(statistics.median(seconds), 2) if seconds else None,
-        "left_worst_s": round(max(seconds), 2) if seconds else None,
-        "seconds": round(time.perf_counter() - began, 1)}))
+    print(
+        f"{len(names)} scenarios, {len(seeds)} seeds: {counts['sent']} requests, {counts['begin']} "
+        f"attempts, {counts['plan']} plans taken"
+    )
+    print(
+        json.dumps(
+            {
+                "runs": len(names) * len(seeds),
+                "breaches": sum(breaches.values()),
+                "kinds": dict(breaches),
+                "unfinished": unfinished,
+                "requests": counts["sent"],
+                "left_s": round(statistics.median(seconds), 2) if seconds else None,
+                "left_worst_s": round(max(seconds), 2) if seconds else None,
+                "seconds": round(time.perf_counter() - began, 1),
+            }
+        )
+    )
     sys.exit(bool(breaches))
 
 
--- a/benchmarks/fleet_count.py
+++ b/benchmarks/fleet_count.py
@@ -17,11 +17,15 @@
 from collections import Counter, defaultdict
 from pathlib import Path
 
-STEP = re.compile(r" step destination=(\S+) ending=(\w+) class=(\d+) attempt=(\d+) width=(\S+) sent=(\d+) "
-                  r"waited=(-?\d+) ran=(-?\d+)")
+STEP = re.compile(
+    r" step destination=(\S+) ending=(\w+) class=(\d+) attempt=(\d+) width=(\S+) sent=(\d+) "
+    r"waited=(-?\d+) ran=(-?\d+)"
+)
 NO = re.compile(r"^(\S+) .* no class=(\d+) tries=(\d+) why=(.*)")
 LIST = re.compile(r"^(\S+) .* list form=(\w+)(.*)")
-WAITED = 25  # ms between an attempt's send and its start notice from which it counts as having waited
+WAITED = (
+    25  # ms between an attempt's send and its start notice from which it counts as having waited
+)
 COLD = 10_000  # ms after its start for which a worker counts as cold
 
 
@@ -32,7 +36,9 @@
     for path in paths:
         for line in Path(path).read_text(errors="replace").splitlines():
             if m := STEP.search(line):
-                steps.append((int(m[6]), m[1], m[2], int(m[3]), int(m[4]), float(m[5]), int(m[7]), int(m[8])))
+                steps.append(
+                    (int(m[6]), m[1], m[2], int(m[3]), int(m[4]), float(m[5]), int(m[7]), int(m[8]))
+                )
             elif m := NO.match(line):
                 refusals[int(float(m[1])), m[4]] += 1
             elif m := LIST.match(line):
@@ -55,22 +61,44 @@
         cold = sum(0 < launched.get(r[1], 0) and r[0] - launched[r[1]] < COLD for r in rows)
         never = sum(r[6] < 0 and r[2] != "SERVED" for r in rows)
         grounds = {why: n for (at, why), n in sorted(refusals.items()) if at == second}
-        print(f"{second:3d} steps {len(rows):4d} workers {len(by_worker):2d} spread {spread:.2f} "
-              f"waited {len(waits):3d} mean {sum(waits) / max(1, len(waits)):5.0f} "
-              f"never-started {never:3d} cold {cold:3d} "
-              f"lists {lists[second]:3d} ends {dict(ends)} refused {grounds}")
+        print(
+            f"{second:3d} steps {len(rows):4d} workers {len(by_worker):2d} spread {spread:.2f} "
+            f"waited {len(waits):3d} mean {sum(waits) / max(1, len(waits)):5.0f} "
+            f"never-started {never:3d} cold {cold:3d} "
+            f"lists {lists[second]:3d} ends {dict(ends)} refused {grounds}"
+        )
     if "--workers" in sys.argv:
         rows = defaultdict(list)
         for step in steps:
             rows[step[1]].append(step)
         for name, of in sorted(rows.items(), key=lambda i: -sum(max(0, r[6]) for r in i[1])):
             since = f"{(launched[name] - origin) / 1000:.1f}" if launched.get(name) else "before"
-            print(name, "launched", since, "steps", len(of), "waited", sum(r[6] >= WAITED for r in of), "for",
-                  sum(max(0, r[6]) for r in of) // 1000, "s, from", (of[0][0] - origin) // 1000,
-                  dict(Counter(r[2] for r in of)),
-                  "told gone", f"{told[name]:.1f}" if name in told else "never")
-    print(json.dumps({"steps": len(steps), "ends": Counter(s[2] for s in steps),
-                      "waited": sum(s[6] >= WAITED for s in steps), "refused": sum(refusals.values())}))
+            print(
+                name,
+                "launched",
+                since,
+                "steps",
+                len(of),
+                "waited",
+                sum(r[6] >= WAITED for r in of),
+                "for",
+                sum(max(0, r[6]) for r in of) // 1000,
+                "s, from",
+                (of[0][0] - origin) // 1000,
+                dict(Counter(r[2] for r in of)),
+                "told gone",
+                f"{told[name]:.1f}" if name in told else "never",
+            )
+    print(
+        json.dumps(
+            {
+                "steps": len(steps),
+                "ends": Counter(s[2] for s in steps),
+                "waited": sum(s[6] >= WAITED for s in steps),
+                "refused": sum(refusals.values()),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -47,7 +47,7 @@
     net.run(50.0)
     found["accused_by_sleeper"] = sum(who == "m0002" for _, who, _ in net.false_deaths)
     names = sorted(net.nodes)
-    net.cut(names[:members // 3], names[members // 3:], heal_after=30.0)
+    net.cut(names[: members // 3], names[members // 3 :], heal_after=30.0)
     net.run(30.0)
     found["heal_s"] = net.until(net.agreed, MOST) or MOST
     return found
@@ -69,15 +69,17 @@
     elif kind == "half_seen":
         net.cut([one], rest[::2])
     elif kind == "hearing":
-        knowing = set(names[:members // 2])
-        net.cut(knowing, names[members // 2:], both=False)
+        knowing = set(names[: members // 2])
+        net.cut(knowing, names[members // 2 :], both=False)
     elif kind == "pauses":
-        pause(net, names[:members // 3])
+        pause(net, names[: members // 3])
     else:
         net.default = Path(delay=0.01, jitter=0.01, loss=float(kind.removeprefix("loss_")))
     net.run(120.0)
-    return {kind: sum(who in knowing for _, who, _ in net.false_deaths),
-            f"{kind}_others": sum(who not in knowing for _, who, _ in net.false_deaths)}
+    return {
+        kind: sum(who in knowing for _, who, _ in net.false_deaths),
+        f"{kind}_others": sum(who not in knowing for _, who, _ in net.false_deaths),
+    }
 
 
 def pause(net: Net, names: list[str]) -> None:
@@ -96,8 +98,12 @@
         seeds = given.seeds or (3 if given.quick else 10 if members < 100 else 2)
         runs = [one(seed, members) for seed in range(seeds)]
         rows[members] = {
-            key: {"median": round(statistics.median(r[key] for r in runs), 2),
-                  "worst": round(max(r[key] for r in runs), 2)} for key in runs[0]}
+            key: {
+                "median": round(statistics.median(r[key] for r in runs), 2),
+                "worst": round(max(r[key] for r in runs), 2),
+            }
+            for key in runs[0]
+        }
         print(members, rows[members], file=sys.stderr)
     troubles: dict[str, int] = {}
     for kind in KINDS:
@@ -106,8 +112,15 @@
                 troubles[key] = troubles.get(key, 0) + count
         print(kind, troubles[kind], file=sys.stderr)
     false_deaths = sum(r["false_deaths"]["worst"] for r in rows.values())
-    print(json.dumps({"members": rows, "troubles": {k: n for k, n in troubles.items() if n or k in KINDS},
-                      "false_deaths": false_deaths + sum(troubles[kind] for kind in KINDS)}))
+    print(
+        json.dumps(
+            {
+                "members": rows,
+                "troubles": {k: n for k, n in troubles.items() if n or k in KINDS},
+                "false_deaths": false_deaths + sum(troubles[kind] for kind in KINDS),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -40,7 +40,9 @@
 
 def failover(seed: int, voters: int, how: str) -> float:
     """Seconds from a fault at the owner until another owns."""
-    net = OwnNet(seed, 8, voters, span=SPAN, drift=0.04, path=Wire(delay=0.003, jitter=0.003, loss=0.02))
+    net = OwnNet(
+        seed, 8, voters, span=SPAN, drift=0.04, path=Wire(delay=0.003, jitter=0.003, loss=0.02)
+    )
     net.until(lambda: bool(net.owners()), 10)
     net.run(2.0 + net.rng.random())
     net.until(lambda: bool(net.owners()), 10, 0.05)
@@ -124,29 +126,42 @@
     spans: list[float] = []
     stories = [(how, voters) for how in ("kill", "pause", "cut") for voters in (3, 5)]
     for i, (how, voters) in enumerate(stories, 1):
-        took = some(lambda seed, how=how, voters=voters: failover(seed, voters, how), seeds, 0.06 * i)
+        took = some(
+            lambda seed, how=how, voters=voters: failover(seed, voters, how), seeds, 0.06 * i
+        )
         spans += took
-        print(f"{how:<6} {voters} voters: median {statistics.median(took):.2f} s, "
-              f"worst {max(took):.2f} s of {len(took)}")
+        print(
+            f"{how:<6} {voters} voters: median {statistics.median(took):.2f} s, "
+            f"worst {max(took):.2f} s of {len(took)}"
+        )
     whole = some(lambda seed: harm(seed, 25.0), 10 if given.quick else 200, 0.5)
     two, late, refused, grants = (sum(run[i] for run in whole) for i in range(4))
-    print(f"{len(whole)} random runs: {grants} grants, {refused} late orders refused, {two} with two owners, "
-          f"{late} with a late order obeyed")
+    print(
+        f"{len(whole)} random runs: {grants} grants, {refused} late orders refused, {two} with two owners, "
+        f"{late} with a late order obeyed"
+    )
     explored = 0
-    bounds = {"two elections": Bounds(term=2, log=2, messages=2, orders=0, crashes=0),
-              "one restart": Bounds(term=1, log=1, messages=2, orders=0, crashes=1)}
+    bounds = {
+        "two elections": Bounds(term=2, log=2, messages=2, orders=0, crashes=0),
+        "one restart": Bounds(term=1, log=1, messages=2, orders=0, crashes=1),
+    }
     if not given.quick:
-        bounds |= {"an order, three messages": Bounds(term=1, log=2, messages=3, crashes=0),
-                   "two elections and an order": Bounds(term=2, log=2, messages=2, crashes=0),
-                   "a lost tail": Bounds(term=2, log=2, messages=2, orders=0, crashes=1, tails=1,
-                                         states=400_000)}
+        bounds |= {
+            "an order, three messages": Bounds(term=1, log=2, messages=3, crashes=0),
+            "two elections and an order": Bounds(term=2, log=2, messages=2, crashes=0),
+            "a lost tail": Bounds(
+                term=2, log=2, messages=2, orders=0, crashes=1, tails=1, states=400_000
+            ),
+        }
     for i, (name, bound) in enumerate(bounds.items(), 1):
         if given.quick:
             probed = time.perf_counter()
             Checker(replace(bound, states=PROBE)).run()
             now = time.perf_counter()
             left = (most - 4.0 - (now - began)) * i / len(bounds)  # four go to the orders
-            bound = replace(bound, states=min(bound.states, int(PROBE * max(1.0, left / (now - probed)))))
+            bound = replace(
+                bound, states=min(bound.states, int(PROBE * max(1.0, left / (now - probed))))
+            )
         found = Checker(bound).run()
         explored += found.states
         end = "whole" if found.whole else f"BROKEN: {found.broken}" if found.broken else "cut off"
@@ -155,11 +170,19 @@
     rates = {voters: (orders(voters, 1.0, 1), orders(voters, 1.0, 32)) for voters in (3, 5)}
     for voters, (one, many) in rates.items():
         print(f"{voters} voters: {one:.0f} orders a second one by one, {many:.0f} at 32 together")
-    print(json.dumps({
-        "two_owners": two, "stale_obeyed": late,
-        "failover_p50_s": round(statistics.median(spans), 2),
-        "failover_p99_s": round(sorted(spans)[int(0.99 * (len(spans) - 1))], 2), "states": explored,
-        "orders_per_s_3": round(rates[3][1]), "orders_per_s_5": round(rates[5][1])}))
+    print(
+        json.dumps(
+            {
+                "two_owners": two,
+                "stale_obeyed": late,
+                "failover_p50_s": round(statistics.median(spans), 2),
+                "failover_p99_s": round(sorted(spans)[int(0.99 * (len(spans) - 1))], 2),
+                "states": explored,
+                "orders_per_s_3": round(rates[3][1]),
+                "orders_per_s_5": round(rates[5][1]),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -28,8 +28,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 FIELDS = ("qps", "inflight", "x0")
-CASES = [(workers, reports, keys) for workers in (10, 200, 5000)
-         for reports, keys in ((False, False), (True, False), (True, True))]
+CASES = [
+    (workers, reports, keys)
+    for workers in (10, 200, 5000)
+    for reports, keys in ((False, False), (True, False), (True, True))
+]
 
 
 def play(workers: int, reports: bool, keys: bool, jobs: int) -> float:
@@ -39,12 +42,23 @@
 
     rng = random.Random(7)
     dispatchers = max(1, workers // 10)
-    d = Dispatcher(Settings(
-        [api.JobClass("a", 300.0, 5000.0, stretch=2.0),
-         api.JobClass("b", 500.0, 9000.0, 2.0, 0.3, stretch=1.75)],
-        dispatchers=dispatchers, index=0, tells_start=True, progress_every=1000.0, max_attempts=3,
-        report_fields=FIELDS if reports else (), free_slots_field="x0" if reports else "",
-        may_cancel=True), 1)
+    d = Dispatcher(
+        Settings(
+            [
+                api.JobClass("a", 300.0, 5000.0, stretch=2.0),
+                api.JobClass("b", 500.0, 9000.0, 2.0, 0.3, stretch=1.75),
+            ],
+            dispatchers=dispatchers,
+            index=0,
+            tells_start=True,
+            progress_every=1000.0,
+            max_attempts=3,
+            report_fields=FIELDS if reports else (),
+            free_slots_field="x0" if reports else "",
+            may_cancel=True,
+        ),
+        1,
+    )
     names = [f"s-{rng.getrandbits(32):08x}" for _ in range(workers)]
     free = dict.fromkeys(names, 5)
     spent = 0.0
@@ -83,7 +97,9 @@
             if waiting[name]:
                 begin(at, free, waiting, now, waiting[name].pop(0), name, rng)
             report = {"qps": now // 1000.0, "inflight": 5.0 - free[name], "x0": float(free[name])}
-            events = [api.AttemptEnded(job, 0, name, api.SERVED, 200.0, True, report if reports else None)]
+            events = [
+                api.AttemptEnded(job, 0, name, api.SERVED, 200.0, True, report if reports else None)
+            ]
         began = time.process_time()
         actions = d.handle(now, events)
         spent += time.process_time() - began
@@ -119,8 +135,10 @@
     found: dict[tuple, dict[str, list[float]]] = {case: {"A": [], "B": []} for case in CASES}
     with tempfile.TemporaryDirectory() as folder:
         tree = Path(folder) / "before"
-        subprocess.run(["git", "-C", str(ROOT), "worktree", "add", "-q", "--detach", str(tree), given.before],
-                       check=True)
+        subprocess.run(
+            ["git", "-C", str(ROOT), "worktree", "add", "-q", "--detach", str(tree), given.before],
+            check=True,
+        )
         try:
             for turn in range(rounds):
                 for case, figures in found.items():
@@ -128,27 +146,57 @@
                         if which == "B" and case[2]:
                             continue
                         done = subprocess.run(
-                            [sys.executable, __file__, "--play", *(str(int(x)) for x in case), str(jobs)],
-                            env={"PYTHONPATH": str(place), "PATH": "/usr/bin:/bin"}, cwd=folder, check=True,
-                            capture_output=True, text=True)
+                            [
+                                sys.executable,
+                                __file__,
+                                "--play",
+                                *(str(int(x)) for x in case),
+                                str(jobs),
+                            ],
+                            env={"PYTHONPATH": str(place), "PATH": "/usr/bin:/bin"},
+                            cwd=folder,
+                            check=True,
+                            capture_output=True,
+                            text=True,
+                        )
                         figures[which].append(float(done.stdout))
                 print(f"round {turn + 1} of {rounds}", file=sys.stderr)
         finally:
-            subprocess.run(["git", "-C", str(ROOT), "worktree", "remove", "--force", str(tree)], check=True)
+            subprocess.run(
+                ["git", "-C", str(ROOT), "worktree", "remove", "--force", str(tree)], check=True
+            )
     rows = []
     for (workers, reports, keys), figures in found.items():
         a = statistics.median(figures["A"])
         b = statistics.median(figures["B"]) if figures["B"] else None
-        rows.append({"workers": workers, "reports": reports, "keys": keys, "us_per_job": round(a, 1),
-                     "us_per_job_before": round(b, 1) if b else None, "ratio": round(a / b, 3) if b else None,
-                     "spread": round(max(figures["A"]) / min(figures["A"]), 2)})
-        print(f"{workers:5d} workers  reports {reports!s:5}  keys {keys!s:5}  {a:7.1f} us a job"
-              + (f"  before {b:7.1f}  ratio {a / b:.2f}" if b else ""), file=sys.stderr)
+        rows.append(
+            {
+                "workers": workers,
+                "reports": reports,
+                "keys": keys,
+                "us_per_job": round(a, 1),
+                "us_per_job_before": round(b, 1) if b else None,
+                "ratio": round(a / b, 3) if b else None,
+                "spread": round(max(figures["A"]) / min(figures["A"]), 2),
+            }
+        )
+        print(
+            f"{workers:5d} workers  reports {reports!s:5}  keys {keys!s:5}  {a:7.1f} us a job"
+            + (f"  before {b:7.1f}  ratio {a / b:.2f}" if b else ""),
+            file=sys.stderr,
+        )
     compared = [row for row in rows if row["us_per_job_before"]]
-    print(json.dumps({
-        "us_per_job": round(statistics.fmean(r["us_per_job"] for r in compared), 1),
-        "us_per_job_before": round(statistics.fmean(r["us_per_job_before"] for r in compared), 1),
-        "cases": rows}))
+    print(
+        json.dumps(
+            {
+                "us_per_job": round(statistics.fmean(r["us_per_job"] for r in compared), 1),
+                "us_per_job_before": round(
+                    statistics.fmean(r["us_per_job_before"] for r in compared), 1
+                ),
+                "cases": rows,
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -35,15 +35,35 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = {
-    "areas": ["room"], "kinds": ["std5"], "instances": 200, "index": 7, "tick": 2.0, "counted_by": "work",
+    "areas": ["room"],
+    "kinds": ["std5"],
+    "instances": 200,
+    "index": 7,
+    "tick": 2.0,
+    "counted_by": "work",
     "registry_mode": "push",
-    "limits": {"try_limit": 3, "connect_timeout": 150.0, "idle_close": 10000.0, "max_retry_after": 2000.0,
-               "retry_after": True, "may_probe": False, "cancel": True},
+    "limits": {
+        "try_limit": 3,
+        "connect_timeout": 150.0,
+        "idle_close": 10000.0,
+        "max_retry_after": 2000.0,
+        "retry_after": True,
+        "may_probe": False,
+        "cancel": True,
+    },
     "specifics": {"tells_start": True, "progress": 1000.0},
-    "rules": {"answer_slack": 8.0, "fall": 3000.0, "fall_multiple": 3.0, "start_capacity": 0.3,
-              "warm_after": 10000.0, "stop_sending_within": 1000.0},
+    "rules": {
+        "answer_slack": 8.0,
+        "fall": 3000.0,
+        "fall_multiple": 3.0,
+        "start_capacity": 0.3,
+        "warm_after": 10000.0,
+        "stop_sending_within": 1000.0,
+    },
     "parties": [{"name": "app", "quota_per_s": 64.0, "share": 1.0}],
-    "request_classes": [{"name": "tour", "aim": 100.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0}],
+    "request_classes": [
+        {"name": "tour", "aim": 100.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0}
+    ],
 }
 
 
@@ -98,10 +118,14 @@
                     self.cpu_at_send = cpu_ms(self.pid)
                     self.sent.set()
                 job = dict(request.headers).get(b"x-request-id", b"").decode()
-                lines = "".join(ujson.dumps({"id": job, "from": "p", "state": state, **more}) + "\n"
-                                for state, more in (("started", {}), ("done", {"result": "profile"})))
-                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
-                    len(lines), lines.encode()))
+                lines = "".join(
+                    ujson.dumps({"id": job, "from": "p", "state": state, **more}) + "\n"
+                    for state, more in (("started", {}), ("done", {"result": "profile"}))
+                )
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    % (len(lines), lines.encode())
+                )
         await trio.aclose_forcefully(stream)
 
     async def _discovery(self, stream: trio.SocketStream) -> None:
@@ -110,30 +134,63 @@
                 if b"from=" in request.target:
                     await trio.sleep_forever()  # a watch: nothing changes
                 body = ujson.dumps({"version": 1, "full": True, "servers": self.entries}).encode()
-                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                )
         await trio.aclose_forcefully(stream)
 
     async def run(self, tree: Path) -> dict:
         async with trio.open_nursery() as nursery:
             for i in range(self.count):
-                listeners = await nursery.start(partial(trio.serve_tcp, self._profiler, 0, host="127.0.0.1"))
+                listeners = await nursery.start(
+                    partial(trio.serve_tcp, self._profiler, 0, host="127.0.0.1")
+                )
                 port = listeners[0].socket.getsockname()[1]
-                self.entries.append({"id": f"s-{i:08x}", "addr": f"127.0.0.1:{port}", "zone": "room",
-                                     "kind": "std5", "cell": i % 8, "state": "SERVING", "weight": 1.0,
-                                     "started_ms": 0})
-            listeners = await nursery.start(partial(trio.serve_tcp, self._discovery, 0, host="127.0.0.1"))
+                self.entries.append(
+                    {
+                        "id": f"s-{i:08x}",
+                        "addr": f"127.0.0.1:{port}",
+                        "zone": "room",
+                        "kind": "std5",
+                        "cell": i % 8,
+                        "state": "SERVING",
+                        "weight": 1.0,
+                        "started_ms": 0,
+                    }
+                )
+            listeners = await nursery.start(
+                partial(trio.serve_tcp, self._discovery, 0, host="127.0.0.1")
+            )
             discovery = listeners[0].socket.getsockname()[1]
             listen = free_port()
             with tempfile.TemporaryDirectory() as scratch:
                 config = Path(scratch) / "config.json"
-                config.write_text(json.dumps({
-                    "name": "n7", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}",
-                    "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                    "known": {"version": 1, "full": True, "servers": self.entries}, "settings": SETTINGS}))
-                env = {**os.environ, "BALANCER_CONFIG": str(config), "PYTHONPATH": str(tree),
-                       "YEWRILL_LOG": "WARNING"}
-                process = subprocess.Popen([sys.executable, "-m", "yewrill"], cwd=tree, env=env,
-                                           stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+                config.write_text(
+                    json.dumps(
+                        {
+                            "name": "n7",
+                            "listen": f"127.0.0.1:{listen}",
+                            "discovery": f"127.0.0.1:{discovery}",
+                            "seed": "8c1f30d27a5be964",
+                            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                            "known": {"version": 1, "full": True, "servers": self.entries},
+                            "settings": SETTINGS,
+                        }
+                    )
+                )
+                env = {
+                    **os.environ,
+                    "BALANCER_CONFIG": str(config),
+                    "PYTHONPATH": str(tree),
+                    "YEWRILL_LOG": "WARNING",
+                }
+                process = subprocess.Popen(
+                    [sys.executable, "-m", "yewrill"],
+                    cwd=tree,
+                    env=env,
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.DEVNULL,
+                )
                 self.pid = process.pid
                 try:
                     await self._client(listen)
@@ -156,15 +213,19 @@
                     await trio.sleep(0.005)
                     continue
                 async with stream:
-                    await stream.send_all(b"GET /up HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n")
+                    await stream.send_all(
+                        b"GET /up HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n"
+                    )
                     head = await stream.receive_some()
                 if head.startswith(b"HTTP/1.1 200"):
                     break
                 await trio.sleep(0.005)
             async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
-                await stream.send_all(b"POST /tour HTTP/1.1\r\nHost: d\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\n"
-                                      b"X-Priority-Class: tour\r\nX-Tenant-Id: app\r\nX-Timeout-Ms: 5000\r\n"
-                                      b"Content-Length: 2\r\n\r\n{}")
+                await stream.send_all(
+                    b"POST /tour HTTP/1.1\r\nHost: d\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\n"
+                    b"X-Priority-Class: tour\r\nX-Tenant-Id: app\r\nX-Timeout-Ms: 5000\r\n"
+                    b"Content-Length: 2\r\n\r\n{}"
+                )
                 await stream.receive_some()
 
 
@@ -189,22 +250,29 @@
         subprocess.run([*git, "add", "--detach", "-q", str(before), args.before], check=True)
         try:
             for tree in (ROOT, before):  # as `build` leaves them: compiled once
-                subprocess.run([sys.executable, "-m", "compileall", "-q", str(tree / "yewrill")], check=True)
+                subprocess.run(
+                    [sys.executable, "-m", "compileall", "-q", str(tree / "yewrill")], check=True
+                )
             runs: dict[str, list[dict]] = {"A": [], "B": []}
             for i in range(rounds):
                 for name, tree in (("A", ROOT), ("B", before)):
                     figures = trio.run(Stage(args.profilers).run, tree)
                     runs[name].append(figures)
-                    print(f"round {i} {name}: {figures['cpu_ms']:.0f} ms, {figures['peak_mb']:.1f} MB",
-                          file=sys.stderr)
+                    print(
+                        f"round {i} {name}: {figures['cpu_ms']:.0f} ms, {figures['peak_mb']:.1f} MB",
+                        file=sys.stderr,
+                    )
         finally:
             subprocess.run([*git, "remove", "--force", str(before)], check=False)
     summary: dict = {"profilers": args.profilers, "rounds": rounds, "before": args.before}
     for name, of in runs.items():
         for key in ("cpu_ms", "peak_mb"):
             values = [r[key] for r in of]
-            summary[f"{name}_{key}"] = {"median": round(statistics.median(values), 1),
-                                        "min": round(min(values), 1), "max": round(max(values), 1)}
+            summary[f"{name}_{key}"] = {
+                "median": round(statistics.median(values), 1),
+                "min": round(min(values), 1),
+                "max": round(max(values), 1),
+            }
     ratios = [a["cpu_ms"] / b["cpu_ms"] for a, b in zip(runs["A"], runs["B"], strict=True)]
     summary["cpu_ratio_median"] = round(statistics.median(ratios), 3)
     print(json.dumps(summary))
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -35,7 +35,9 @@
         path.mkdir(exist_ok=True)
         self._file = str(path / "db")
         self._local = threading.local()
-        self._connection().execute("create table if not exists t (k blob primary key, v blob) without rowid")
+        self._connection().execute(
+            "create table if not exists t (k blob primary key, v blob) without rowid"
+        )
 
     def _connection(self) -> sqlite3.Connection:
         connection = getattr(self._local, "connection", None)
@@ -68,8 +70,12 @@
 class Ours:
     def __init__(self, path: Path):
         self.store = Store(path)
-        self.put, self.get, self.scan, self.close = (self.store.put, self.store.get, self.store.scan,
-                                                     self.store.close)
+        self.put, self.get, self.scan, self.close = (
+            self.store.put,
+            self.store.get,
+            self.store.scan,
+            self.store.close,
+        )
 
     def fill(self, items) -> None:
         batch = Batch()
@@ -226,19 +232,27 @@
         for hint in (where / "million").glob("*.hint"):
             hint.unlink()
         without = float(in_process(OPEN, where / "million")[0])
-        middle = {what: {who: statistics.median(some) for who, some in both.items()}
-                  for what, both in figures.items()}
-        last = {f"{what}_vs_sqlite": round(both["store"] / both["sqlite"], 2)
-                for what, both in middle.items() if "sqlite" in both}
+        middle = {
+            what: {who: statistics.median(some) for who, some in both.items()}
+            for what, both in figures.items()
+        }
+        last = {
+            f"{what}_vs_sqlite": round(both["store"] / both["sqlite"], 2)
+            for what, both in middle.items()
+            if "sqlite" in both
+        }
         # Tasks of one loop beside threads of the other: each in the way that suits it.
         last["tasks64_vs_sqlite_threads"] = round(
-            middle["tasks64"]["store"] / middle["writers64"]["sqlite"], 2)
+            middle["tasks64"]["store"] / middle["writers64"]["sqlite"], 2
+        )
         last.update(
             {f"{what}_per_s": round(both["store"]) for what, both in middle.items()},
             open_s=round(statistics.median(float(row[0]) for row in opened), 2),
             open_without_hints_s=round(without, 2),
-            keys=keys, bytes_per_key=round(per_key),
-            written_per_stored=round((stat["written"] + stat["size"]) / stored, 2))
+            keys=keys,
+            bytes_per_key=round(per_key),
+            written_per_stored=round((stat["written"] + stat["size"]) / stored, 2),
+        )
         print(json.dumps(last))
     finally:
         shutil.rmtree(where)
--- a/benchmarks/tracing.py
+++ b/benchmarks/tracing.py
@@ -53,15 +53,20 @@
         async with trio.open_nursery() as nursery:
             for peer in destinations.peers:
                 await nursery.start(peer.serve)
-            config = {"listen": "127.0.0.1:0", "settings": SETTINGS,
-                      "discovery": await Discovery(destinations.peers).serve(nursery)}
+            config = {
+                "listen": "127.0.0.1:0",
+                "settings": SETTINGS,
+                "discovery": await Discovery(destinations.peers).serve(nursery),
+            }
             written = Path(directory) / "traces.jsonl"
             if tracing is not None:
                 config["tracing"] = {"file": str(written), **tracing}
             path = Path(directory) / "config.json"
             path.write_text(json.dumps(config))
             process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "yewrill", "serve", "--config", str(path)], stderr=subprocess.PIPE)
+                [sys.executable, "-m", "yewrill", "serve", "--config", str(path)],
+                stderr=subprocess.PIPE,
+            )
             try:
                 said = b""
                 while b" ready " not in said:
@@ -95,8 +100,13 @@
                 if written.exists():
                     kept = {json.loads(line)["id"] for line in written.read_text().splitlines()}
                 seen = bad & set(done)
-                return {"per_s": jobs / spent, "cpu_ms": 1000 * (after - cpu) / max(1, jobs), "rss": rss,
-                        "kept": len(seen & kept) / max(1, len(seen)), "lines": len(kept)}
+                return {
+                    "per_s": jobs / spent,
+                    "cpu_ms": 1000 * (after - cpu) / max(1, jobs),
+                    "rss": rss,
+                    "kept": len(seen & kept) / max(1, len(seen)),
+                    "lines": len(kept),
+                }
             finally:
                 process.kill()
                 await process.wait()
@@ -118,17 +128,29 @@
         for rows, tracing in ((off, None), (on, {"share": 0.01})):
             row = trio.run(one, tracing, seconds)
             rows.append(row)
-            print("on " if tracing else "off", {k: round(v, 3) for k, v in row.items()}, file=sys.stderr)
+            print(
+                "on " if tracing else "off",
+                {k: round(v, 3) for k, v in row.items()},
+                file=sys.stderr,
+            )
 
     def ratio(key: str) -> float:
         return statistics.median(b[key] / a[key] for a, b in zip(off, on, strict=True))
 
-    print(json.dumps({
-        "throughput_cost": round(1.0 - ratio("per_s"), 4), "cpu_cost": round(ratio("cpu_ms") - 1.0, 4),
-        "bad_kept": round(min(row["kept"] for row in on), 4),
-        "rss_mb": round(statistics.median(b["rss"] - a["rss"] for a, b in zip(off, on, strict=True)), 1),
-        "cpu_ms_off": round(statistics.median(row["cpu_ms"] for row in off), 4),
-        "per_s_off": round(statistics.median(row["per_s"] for row in off))}))
+    print(
+        json.dumps(
+            {
+                "throughput_cost": round(1.0 - ratio("per_s"), 4),
+                "cpu_cost": round(ratio("cpu_ms") - 1.0, 4),
+                "bad_kept": round(min(row["kept"] for row in on), 4),
+                "rss_mb": round(
+                    statistics.median(b["rss"] - a["rss"] for a, b in zip(off, on, strict=True)), 1
+                ),
+                "cpu_ms_off": round(statistics.median(row["cpu_ms"] for row in off), 4),
+                "per_s_off": round(statistics.median(row["per_s"] for row in off)),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -150,8 +150,14 @@
     for name in NAMES:
         net.restart(name)
     again = net.until(net.agreed, MOST)
-    return end(net, twin_refused=refused, restart=restart, leave=leave, all_again=again,
-               numbers_go_on=int(net.nodes["m0000"].machine.installed.number > before))
+    return end(
+        net,
+        twin_refused=refused,
+        restart=restart,
+        leave=leave,
+        all_again=again,
+        numbers_go_on=int(net.nodes["m0000"].machine.installed.number > before),
+    )
 
 
 def form(seed: int, members: int) -> Found:
@@ -188,8 +194,10 @@
         jobs += [(kills, seed, 0.0, 4), (kills, 100 + seed, 0.3, 4)]
     for seed in range(few):
         jobs += [(odd, seed, kind) for kind in ("deaf", "mute", "half")]
-        jobs += [(halves, seed, first, both) for first, both in
-                 ((12, False), (10, False), (14, False), (12, True), (9, True))]
+        jobs += [
+            (halves, seed, first, both)
+            for first, both in ((12, False), (10, False), (14, False), (12, True), (9, True))
+        ]
         jobs += [(rack, seed, size) for size in (8, 9, 10)]
         jobs += [(run, seed) for run in (pauses, long_pause, flap, small, bytes_of)]
         jobs += [(form, seed, members) for members in (3, 24)]
@@ -215,16 +223,27 @@
             for key, values in found.items():
                 all_found[key] += values
     for key, values in sorted(all_found.items()):
-        print(f"{key:>22}: median {part(values, 0.5):9.3f}  p99 {part(values, 0.99):9.3f}  n {len(values)}",
-              file=sys.stderr)
-    result = {"false_out": int(sum(all_found.pop("false_out"))),
-              "both_sides": int(sum(all_found.pop("both_sides"))),
-              "detect_p99_s": part(all_found.pop("detect"), 0.99),
-              "detect_30loss_p99_s": part(all_found.pop("detect_30loss"), 0.99),
-              "bytes_per_s_1000": part(all_found.pop("bytes_1000"), 1.0)}
+        print(
+            f"{key:>22}: median {part(values, 0.5):9.3f}  p99 {part(values, 0.99):9.3f}  n {len(values)}",
+            file=sys.stderr,
+        )
+    result = {
+        "false_out": int(sum(all_found.pop("false_out"))),
+        "both_sides": int(sum(all_found.pop("both_sides"))),
+        "detect_p99_s": part(all_found.pop("detect"), 0.99),
+        "detect_30loss_p99_s": part(all_found.pop("detect_30loss"), 0.99),
+        "bytes_per_s_1000": part(all_found.pop("bytes_1000"), 1.0),
+    }
     lowest = ("twin_refused", "numbers_go_on")
-    print(json.dumps(result | {key: part(values, 0.0 if key in lowest else 1.0)
-                               for key, values in sorted(all_found.items())}))
+    print(
+        json.dumps(
+            result
+            | {
+                key: part(values, 0.0 if key in lowest else 1.0)
+                for key, values in sorted(all_found.items())
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -41,11 +41,21 @@
     mended = fleet.now
     fleet.mend(0)
     fleet.run(15)
-    full = next((at for at in range(15)
-                 if len(fleet.attempts_at(0, mended + at, mended + at + 1)) >= normal / 2), 15)
-    return {"lost": sum(began <= at < mended for at in fleet.lost_at[0]),
-            "worth": fleet.worth(began, mended), "worth_after": fleet.worth(mended, mended + 15),
-            "back_s": full, "cold": fleet.cold_over()}
+    full = next(
+        (
+            at
+            for at in range(15)
+            if len(fleet.attempts_at(0, mended + at, mended + at + 1)) >= normal / 2
+        ),
+        15,
+    )
+    return {
+        "lost": sum(began <= at < mended for at in fleet.lost_at[0]),
+        "worth": fleet.worth(began, mended),
+        "worth_after": fleet.worth(mended, mended + 15),
+        "back_s": full,
+        "cold": fleet.cold_over(),
+    }
 
 
 def agreement(members: int, zones: int, seed: int) -> dict[str, float]:
@@ -56,8 +66,13 @@
     agreed = net.until(lambda: net.agreed() and max(net.share("z0")) < 0.5, 10, 0.05)
     took = [next(at for at, version, _ in m.changes if version[0]) for m in net.living()]
     sent = sum(m.sent for m in net.members.values()) - bytes_before
-    return {"members": members, "zones": zones, "agree_s": agreed if agreed is not None else float("nan"),
-            "spread_s": max(took) - min(took), "bytes_s": sent / members / max(net.now - began, 1e-9)}
+    return {
+        "members": members,
+        "zones": zones,
+        "agree_s": agreed if agreed is not None else float("nan"),
+        "spread_s": max(took) - min(took),
+        "bytes_s": sent / members / max(net.now - began, 1e-9),
+    }
 
 
 def false_leaves(seed: int, seconds: float) -> tuple[int, float]:
@@ -75,37 +90,58 @@
     began = time.perf_counter()
     figures: dict[str, float] = {}
     for load in (0.55, 0.8):
-        print(f"\nload {load:g}: without plan, with plan (medians over {len(seeds)} seeds; ratios of sums)")
+        print(
+            f"\nload {load:g}: without plan, with plan (medians over {len(seeds)} seeds; ratios of sums)"
+        )
         whole: dict[bool, list[dict[str, float]]] = {False: [], True: []}
         for mode in MODES:
-            runs = {plan: [trouble(seed, mode, load, plan) for seed in seeds] for plan in (False, True)}
+            runs = {
+                plan: [trouble(seed, mode, load, plan) for seed in seeds] for plan in (False, True)
+            }
             for plan, some in runs.items():
                 whole[plan] += some
-            pairs = ", ".join(f"{key} {statistics.median(r[key] for r in runs[False]):.4g} -> "
-                              f"{statistics.median(r[key] for r in runs[True]):.4g}" for key in runs[True][0])
+            pairs = ", ".join(
+                f"{key} {statistics.median(r[key] for r in runs[False]):.4g} -> "
+                f"{statistics.median(r[key] for r in runs[True]):.4g}"
+                for key in runs[True][0]
+            )
             print(f"  {mode:<8} {pairs}")
-        ratios = {key: sum(r[key] for r in whole[True]) / max(1.0, sum(r[key] for r in whole[False]))
-                  for key in ("lost", "worth", "worth_after")}
+        ratios = {
+            key: sum(r[key] for r in whole[True]) / max(1.0, sum(r[key] for r in whole[False]))
+            for key in ("lost", "worth", "worth_after")
+        }
         over = sum(r["cold"] > 1.0 for r in whole[True])
-        print(f"  lost {ratios['lost']:.3f} times, worth in 10 s {ratios['worth']:.3f}, in the 15 s after "
-              f"{ratios['worth_after']:.3f}; cold budgets passed in {over} of {len(whole[True])} runs "
-              f"(without: {sum(r['cold'] > 1.0 for r in whole[False])})")
+        print(
+            f"  lost {ratios['lost']:.3f} times, worth in 10 s {ratios['worth']:.3f}, in the 15 s after "
+            f"{ratios['worth_after']:.3f}; cold budgets passed in {over} of {len(whole[True])} runs "
+            f"(without: {sum(r['cold'] > 1.0 for r in whole[False])})"
+        )
         if load < 0.8:
-            figures = {"lost_ratio": round(ratios["lost"], 3), "worth_ratio": round(ratios["worth"], 3),
-                       "worth_after_ratio": round(ratios["worth_after"], 3), "cold_over": over,
-                       "back_s": statistics.median(r["back_s"] for r in whole[True])}
+            figures = {
+                "lost_ratio": round(ratios["lost"], 3),
+                "worth_ratio": round(ratios["worth"], 3),
+                "worth_after_ratio": round(ratios["worth_after"], 3),
+                "cold_over": over,
+                "back_s": statistics.median(r["back_s"] for r in whole[True]),
+            }
         else:
-            figures |= {"lost_ratio_overload": round(ratios["lost"], 3),
-                        "worth_ratio_overload": round(ratios["worth"], 3)}
-    print("\nagreement: members, zones, seconds until all hold the plan, spread, bytes a second and member")
+            figures |= {
+                "lost_ratio_overload": round(ratios["lost"], 3),
+                "worth_ratio_overload": round(ratios["worth"], 3),
+            }
+    print(
+        "\nagreement: members, zones, seconds until all hold the plan, spread, bytes a second and member"
+    )
     sizes = [(3, 3), (24, 3), (200, 4)]
     sizes += [] if given.quick else [(24, 8), (200, 8), (1000, 8)]
     worst = 0.0
     for (members, zones), seed in product(sizes, range(1, 2 if given.quick else 4)):
         found = agreement(members, zones, seed)
         worst = max(worst, found["agree_s"])
-        print(f"  {members:>4} {zones}  {found['agree_s']:.2f}  {found['spread_s']:.2f}  "
-              f"{found['bytes_s']:.0f}")
+        print(
+            f"  {members:>4} {zones}  {found['agree_s']:.2f}  {found['spread_s']:.2f}  "
+            f"{found['bytes_s']:.0f}"
+        )
     made, hours = 0, 0.0
     for seed in range(2 if given.quick else 10):
         one, part = false_leaves(seed, 60.0 if given.quick else 600.0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,7 +18,9 @@
 def playing(request, tmp_path_factory):
     """By name, what will be what the auditor says of each scenario as it is, and of each broken dispatcher: a
     few played at once, each by a process of its own, since all that its parties say goes through it."""
-    if not any(item.path.name == RIG and "histories" in item.fixturenames for item in request.session.items):
+    if not any(
+        item.path.name == RIG and "histories" in item.fixturenames for item in request.session.items
+    ):
         yield {}
         return
     from test_cluster import BROKEN, PLAYED, broken
@@ -26,7 +28,8 @@
     pool = ProcessPoolExecutor(4, get_context("spawn"))
     try:
         played = {how: pool.submit(broken, how, tmp_path_factory.mktemp(how)) for how in BROKEN}
-        yield played | {name: pool.submit(play_once, name, tmp_path_factory.mktemp(name), 1)
-                        for name in PLAYED}
+        yield played | {
+            name: pool.submit(play_once, name, tmp_path_factory.mktemp(name), 1) for name in PLAYED
+        }
     finally:
         pool.shutdown(cancel_futures=True)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -37,17 +37,39 @@
     """One worker."""
 
     def __init__(self, name, slots, speed, launched=0.0, slow=1.0, errs=0.0, zone=0):
-        self.name, self.slots, self.speed, self.launched, self.slow = name, slots, speed, launched, slow
+        self.name, self.slots, self.speed, self.launched, self.slow = (
+            name,
+            slots,
+            speed,
+            launched,
+            slow,
+        )
         self.zone = zone
-        self.errs = errs  # the part of its jobs that end in an error, after a tenth of their run time
+        self.errs = (
+            errs  # the part of its jobs that end in an error, after a tenth of their run time
+        )
         self.free = float(slots)
         self.queue = deque()
-        self.cold_work: list[tuple[float, float]] = []  # when and how much was sent while it was cold
+        self.cold_work: list[
+            tuple[float, float]
+        ] = []  # when and how much was sent while it was cold
 
 
 class World:
-    def __init__(self, seed, dispatchers=40, workers=60, slots=5, load=0.72, classes=CLASSES, spread=SPREAD,
-                 deadline=5000.0, zones=1, places=None, **settings):
+    def __init__(
+        self,
+        seed,
+        dispatchers=40,
+        workers=60,
+        slots=5,
+        load=0.72,
+        classes=CLASSES,
+        spread=SPREAD,
+        deadline=5000.0,
+        zones=1,
+        places=None,
+        **settings,
+    ):
         self.rng = random.Random(seed)
         self.number = count()
         self.now = 1_000_000.0
@@ -56,28 +78,57 @@
         self.classes, self.spread, self.deadline, self.zones = classes, spread, deadline, zones
         # The index and zone that each dispatcher is told of itself; workers are in zones by turns.
         self.places = places or [{"index": i} for i in range(dispatchers)]
-        self.work = sum(c[0] * c[1] * (c[2][0] + 2 * c[2][1] + 4 * c[2][2]) for c in classes.values())
-        self.settings = dict(
-            classes=[api.JobClass(n, aim=c[3], deadline=deadline, worth=c[5], stretch=c[4])
-                     for n, c in classes.items()],
-            dispatchers=dispatchers, tells_start=True, fifo=True, worth_by_work=True, max_attempts=6,
-            progress_every=1000.0, cold_multiple=3.0, cold_window=3000.0, start_capacity=0.31,
-            warm_after=6200.0, tick=2.0, max_retry_after=2000.0, marks_retry=True) | settings
+        self.work = sum(
+            c[0] * c[1] * (c[2][0] + 2 * c[2][1] + 4 * c[2][2]) for c in classes.values()
+        )
+        self.settings = (
+            dict(
+                classes=[
+                    api.JobClass(n, aim=c[3], deadline=deadline, worth=c[5], stretch=c[4])
+                    for n, c in classes.items()
+                ],
+                dispatchers=dispatchers,
+                tells_start=True,
+                fifo=True,
+                worth_by_work=True,
+                max_attempts=6,
+                progress_every=1000.0,
+                cold_multiple=3.0,
+                cold_window=3000.0,
+                start_capacity=0.31,
+                warm_after=6200.0,
+                tick=2.0,
+                max_retry_after=2000.0,
+                marks_retry=True,
+            )
+            | settings
+        )
         self.hosts = {}
         for _ in range(workers):
             self.add_host()
-        self.modules = [Dispatcher(Settings(**self.places[i], **self.settings), self.rng.getrandbits(64))
-                        for i in range(dispatchers)]
+        self.modules = [
+            Dispatcher(Settings(**self.places[i], **self.settings), self.rng.getrandbits(64))
+            for i in range(dispatchers)
+        ]
         for i in range(dispatchers):
-            self.tell(i, [api.WorkerList(api.LIST_CACHED, [self.entry(h) for h in self.hosts.values()])])
+            self.tell(
+                i, [api.WorkerList(api.LIST_CACHED, [self.entry(h) for h in self.hosts.values()])]
+            )
         self.rate = load * workers * slots / self.work
         self.used: list[set[str]] = [set() for _ in range(dispatchers)]
         self.jobs = {}
         self.next_arrival()
 
     def add_host(self, launched=0.0, slow=1.0, errs=0.0):
-        host = Host(f"s-{self.rng.getrandbits(32):08x}", self.slots, self.rng.gauss(1.0, 0.1), launched, slow,
-                    errs, len(self.hosts) % self.zones)
+        host = Host(
+            f"s-{self.rng.getrandbits(32):08x}",
+            self.slots,
+            self.rng.gauss(1.0, 0.1),
+            launched,
+            slow,
+            errs,
+            len(self.hosts) % self.zones,
+        )
         self.hosts[host.name] = host
         return host
 
@@ -90,13 +141,21 @@
     def tell_all(self, entries, spread=50.0):
         """Changes of the list, at a moment of its own at each dispatcher."""
         for i in range(len(self.modules)):
-            self.at(self.now + self.rng.random() * spread, self.tell, i,
-                    [api.WorkerList(api.LIST_CHANGES, list(entries))])
+            self.at(
+                self.now + self.rng.random() * spread,
+                self.tell,
+                i,
+                [api.WorkerList(api.LIST_CHANGES, list(entries))],
+            )
 
     def restart(self, i):
         """A dispatcher starts anew: nothing learned, nothing held, the list as it was last known."""
-        self.modules[i] = Dispatcher(Settings(**self.places[i], **self.settings), self.rng.getrandbits(64))
-        self.tell(i, [api.WorkerList(api.LIST_CACHED, [self.entry(h) for h in self.hosts.values()])])
+        self.modules[i] = Dispatcher(
+            Settings(**self.places[i], **self.settings), self.rng.getrandbits(64)
+        )
+        self.tell(
+            i, [api.WorkerList(api.LIST_CACHED, [self.entry(h) for h in self.hosts.values()])]
+        )
 
     def run(self, span):
         end = self.now + span
@@ -160,8 +219,12 @@
             told = self.now + TRIP
             self.at(told, self.tell, i, [api.AttemptStarted(job.name, number, host.name)])
             for second in range(1, int(run // 1000) + 1):
-                self.at(told + 1000.0 * second, self.tell, i,
-                        [api.AttemptProgress(job.name, number, host.name, 0.5)])
+                self.at(
+                    told + 1000.0 * second,
+                    self.tell,
+                    i,
+                    [api.AttemptProgress(job.name, number, host.name, 0.5)],
+                )
             self.at(self.now + run, self.finish, host, i, job, number)
 
     def warmth(self, host, at):
@@ -177,5 +240,11 @@
         self.at(self.now + TRIP, self.back, i, job, number, host.name, outcome)
 
     def back(self, i, job, number, name, outcome):
-        self.tell(i, [api.AttemptEnded(job.name, number, name, outcome, self.now - job.arrived,
-                                       outcome == api.SERVED)])
+        self.tell(
+            i,
+            [
+                api.AttemptEnded(
+                    job.name, number, name, outcome, self.now - job.arrived, outcome == api.SERVED
+                )
+            ],
+        )
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -20,17 +20,41 @@
 from yewrill.service import Service
 
 SETTINGS = {
-    "areas": ["room"], "kinds": ["std"], "instances": 1, "tick": 2.0, "counted_by": "work",
-    "limits": {"try_limit": 4, "connect_timeout": 150.0, "idle_close": 10000.0, "max_retry_after": 2000.0,
-               "retry_after": True, "may_probe": False, "cancel": True},
+    "areas": ["room"],
+    "kinds": ["std"],
+    "instances": 1,
+    "tick": 2.0,
+    "counted_by": "work",
+    "limits": {
+        "try_limit": 4,
+        "connect_timeout": 150.0,
+        "idle_close": 10000.0,
+        "max_retry_after": 2000.0,
+        "retry_after": True,
+        "may_probe": False,
+        "cancel": True,
+    },
     "specifics": {"tells_start": False, "progress": 1000.0},
-    "rules": {"answer_slack": 8.0, "fall": 3000.0, "fall_multiple": 3.0, "start_capacity": 0.3,
-              "warm_after": 6000.0, "stop_sending_within": 1000.0},
+    "rules": {
+        "answer_slack": 8.0,
+        "fall": 3000.0,
+        "fall_multiple": 3.0,
+        "start_capacity": 0.3,
+        "warm_after": 6000.0,
+        "stop_sending_within": 1000.0,
+    },
     "parties": [{"name": "acme", "quota_per_s": 100000.0, "share": 1.0}],
     "request_classes": [
         {"name": "tour", "aim": 200.0, "deadline": 3000.0, "repeat": "pure", "value": 1.0},
-        {"name": "save", "aim": 200.0, "deadline": 3000.0, "repeat": "token", "group": "cell",
-         "window": 5000.0, "value": 1.0},
+        {
+            "name": "save",
+            "aim": 200.0,
+            "deadline": 3000.0,
+            "repeat": "token",
+            "group": "cell",
+            "window": 5000.0,
+            "value": 1.0,
+        },
         {"name": "once", "aim": 200.0, "deadline": 3000.0, "repeat": "side_effect", "value": 1.0},
     ],
 }
@@ -43,8 +67,11 @@
             async def limited():
                 with trio.fail_after(20):
                     await test(**given)
+
             trio.run(limited, clock=clock())
+
         return run
+
     return told
 
 
@@ -67,7 +94,9 @@
 class Exchange:
     """One request as a scripted destination got it, and the ways to treat it."""
 
-    def __init__(self, stream: trio.SocketStream, request: h11.Request, body: bytes, number: int, front: str):
+    def __init__(
+        self, stream: trio.SocketStream, request: h11.Request, body: bytes, number: int, front: str
+    ):
         self.stream, self.body, self.number, self.front = stream, body, number, front
         self.target = request.target.decode()
         self.headers = {k.decode(): v.decode() for k, v in request.headers}
@@ -80,8 +109,11 @@
 
     async def raw(self, text: str) -> None:
         kind = "text/event-stream" if self.front == "progress" else "application/json"
-        head = "" if self.begun else \
-            f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        head = (
+            ""
+            if self.begun
+            else f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
         self.begun = True
         await self.stream.send_all(f"{head}{len(text.encode()):x}\r\n{text}\r\n".encode())
 
@@ -91,7 +123,9 @@
 
     async def status(self, code: int, *headers: str) -> None:
         lines = "".join(f"{h}\r\n" for h in headers)
-        await self.stream.send_all(f"HTTP/1.1 {code} X\r\n{lines}Content-Length: 0\r\n\r\n".encode())
+        await self.stream.send_all(
+            f"HTTP/1.1 {code} X\r\n{lines}Content-Length: 0\r\n\r\n".encode()
+        )
 
     async def closed(self) -> None:
         """Wait until the dispatcher gives this connection up."""
@@ -150,8 +184,16 @@
         await trio.aclose_forcefully(stream)
 
     def entry(self) -> dict:
-        return {"id": self.name, "addr": f"127.0.0.1:{self.port}", "zone": "room", "kind": "std",
-                "cell": self.cell, "state": self.state, "weight": 1.0, "started_ms": 0}
+        return {
+            "id": self.name,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": "room",
+            "kind": "std",
+            "cell": self.cell,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": 0,
+        }
 
 
 class Discovery:
@@ -206,14 +248,22 @@
         self.stream = stream
         self.parser = h11.Connection(h11.CLIENT)
 
-    async def send(self, target: str = "/tour", method: str = "POST", body: bytes = b"{}", **headers) -> None:
-        given = {"X-Request-ID": "r1", "X-Tenant-Id": "acme", "X-Timeout-Ms": "2000", **{
-            k.replace("_", "-"): v for k, v in headers.items()}}
+    async def send(
+        self, target: str = "/tour", method: str = "POST", body: bytes = b"{}", **headers
+    ) -> None:
+        given = {
+            "X-Request-ID": "r1",
+            "X-Tenant-Id": "acme",
+            "X-Timeout-Ms": "2000",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
         lines = "".join(f"{k}: {v}\r\n" for k, v in given.items() if v is not None)
         self.parser.send(h11.Request(method=method, target=target, headers=[("Host", "x")]))
         self.parser.send(h11.EndOfMessage())
         lines += f"Content-Length: {len(body)}\r\n"
-        await self.stream.send_all(f"{method} {target} HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode() + body)
+        await self.stream.send_all(
+            f"{method} {target} HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode() + body
+        )
 
     async def event(self):
         while (event := self.parser.next_event()) is h11.NEED_DATA:
@@ -253,9 +303,13 @@
         """One call at the operators' door, such as "GET /_ready"."""
         client = Client(await trio.open_tcp_stream(*self.service.door.address))
         method, _, target = call.partition(" ")
-        client.parser.send(h11.Request(method=method, target=target or "/", headers=[("Host", "x")]))
+        client.parser.send(
+            h11.Request(method=method, target=target or "/", headers=[("Host", "x")])
+        )
         client.parser.send(h11.EndOfMessage())
-        await client.stream.send_all(raw or f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        await client.stream.send_all(
+            raw or f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+        )
         reply = await client.reply()
         assert await client.stream.receive_some() == b""  # one call to a connection
         await client.stream.aclose()
@@ -268,17 +322,27 @@
 
 
 @asynccontextmanager
-async def world(*peers: Peer, settings: dict | None = None, signals: bool = False,
-                environment: dict | None = None, **config):
+async def world(
+    *peers: Peer,
+    settings: dict | None = None,
+    signals: bool = False,
+    environment: dict | None = None,
+    **config,
+):
     """A service between scripted peers, its ports given by the system."""
     async with trio.open_nursery() as nursery:
         for peer in peers:
             peer.front = config.get("front", "platform")
             await nursery.start(peer.serve)
         discovery = Discovery(list(peers))
-        raw = {"listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery),
-               "known": {"version": 1, "full": True, "servers": [p.entry() for p in peers]},
-               "settings": {**SETTINGS, **(settings or {})}, "seed": "5", **config}
+        raw = {
+            "listen": "127.0.0.1:0",
+            "discovery": await discovery.serve(nursery),
+            "known": {"version": 1, "full": True, "servers": [p.entry() for p in peers]},
+            "settings": {**SETTINGS, **(settings or {})},
+            "seed": "5",
+            **config,
+        }
         service = Service(read_config(raw, environment), lambda: read_config(raw, environment))
         here = World(service, discovery, nursery, raw)
 
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -14,8 +14,11 @@
 
 def engine(disk, seed=0, **more) -> Engine:
     rng = random.Random(seed)
-    return Engine(disk, salt=lambda: rng.getrandbits(32),
-                  **{"rules": RULES, "segment_size": 3000, "reserve": 0, **more})
+    return Engine(
+        disk,
+        salt=lambda: rng.getrandbits(32),
+        **{"rules": RULES, "segment_size": 3000, "reserve": 0, **more},
+    )
 
 
 def contents(e: Engine, now: int = 0) -> dict[bytes, bytes]:
@@ -29,7 +32,9 @@
     return contents(engine(disk, 99, **more), now)
 
 
-def compacted(e: Engine, now: int, everything: bool = False, some: random.Random | None = None) -> bool:
+def compacted(
+    e: Engine, now: int, everything: bool = False, some: random.Random | None = None
+) -> bool:
     """Compact what the policy chooses, or any segments at all: every choice must be right."""
     numbers = e.choose(now, everything)
     if some is not None:
@@ -56,7 +61,9 @@
 
     @staticmethod
     def seen(data: dict, now: int) -> dict[bytes, bytes]:
-        return {key: value for key, (value, expires) in data.items() if not expires or expires > now}
+        return {
+            key: value for key, (value, expires) in data.items() if not expires or expires > now
+        }
 
 
 def workload(seed: int = 7, commits: int = 300) -> list[Batch]:
@@ -85,12 +92,16 @@
     while at < len(data):
         head = format.decode_head(data, at, parsed.salt)
         end = at + format.FRAME_HEAD + head.length
-        found.append((at, end, format.decode_body(data[at + format.FRAME_HEAD:end], head, parsed.salt, 0)))
+        found.append(
+            (at, end, format.decode_body(data[at + format.FRAME_HEAD : end], head, parsed.salt, 0))
+        )
         at = end
     return found
 
 
-def state_of(files: dict[str, list[tuple[int, int, list[format.Op]]]], now: int) -> dict[bytes, bytes]:
+def state_of(
+    files: dict[str, list[tuple[int, int, list[format.Op]]]], now: int
+) -> dict[bytes, bytes]:
     """What frames amount to: of each key the highest number counts."""
     best: dict[bytes, format.Op] = {}
     for parts in files.values():
@@ -98,8 +109,11 @@
             for op in ops:
                 if op.key not in best or best[op.key].seq < op.seq:
                     best[op.key] = op
-    return {op.key: op.value for op in best.values()
-            if op.kind == format.PUT and (not op.expires or op.expires > now)}
+    return {
+        op.key: op.value
+        for op in best.values()
+        if op.kind == format.PUT and (not op.expires or op.expires > now)
+    }
 
 
 def recorded(commits: int = 300) -> list[tuple[dict[str, bytes], int]]:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -20,8 +20,12 @@
 
     def _go_on(self):
         word = self.word
-        if word.ballot[1] == self.rank and not word.proposal and self._offered \
-                and word.promised.bit_count() >= self.majority:
+        if (
+            word.ballot[1] == self.rank
+            and not word.proposal
+            and self._offered
+            and word.promised.bit_count() >= self.majority
+        ):
             self.word = word._replace(proposal=self._offered)
         super()._go_on()
 
@@ -87,9 +91,18 @@
     assert len(decided) == 1 and all(votes[rank].decided for rank in alive)
 
 
-@pytest.mark.parametrize("word", [
-    Word((1, 9)), Word((-1, 0)), Word((10**7, 0)), Word((1, 0), 1 << 5), Word((1, 0), 1, (1, 0), b"x"),
-    Word((1, 0), 1, NONE, b"x"), Word((1, 0), 1, NONE, b"", b"", 1)])
+@pytest.mark.parametrize(
+    "word",
+    [
+        Word((1, 9)),
+        Word((-1, 0)),
+        Word((10**7, 0)),
+        Word((1, 0), 1 << 5),
+        Word((1, 0), 1, (1, 0), b"x"),
+        Word((1, 0), 1, NONE, b"x"),
+        Word((1, 0), 1, NONE, b"", b"", 1),
+    ],
+)
 def test_what_no_member_could_say_is_refused(word):
     vote = Agreement(0, 5)
     with pytest.raises(ValueError):
--- a/tests/test_basics.py
+++ b/tests/test_basics.py
@@ -19,9 +19,22 @@
 
 def test_what_the_platform_starts_imports_nothing_that_it_has_no_use_for():
     code = "import sys, yewrill.__main__; print(*sys.modules)"
-    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.split()
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    ).stdout.split()
     assert "yewrill.service" in loaded
-    unused = {"click", "msgpack", "msgspec", "structlog", "google_crc32c", "yewrill.cli",
-              "yewrill.configwrite", "yewrill.fronts.progress", "yewrill.net.door", "yewrill.net.handover",
-              "yewrill.keeping", "yewrill.traced"}
+    unused = {
+        "click",
+        "msgpack",
+        "msgspec",
+        "structlog",
+        "google_crc32c",
+        "yewrill.cli",
+        "yewrill.configwrite",
+        "yewrill.fronts.progress",
+        "yewrill.net.door",
+        "yewrill.net.handover",
+        "yewrill.keeping",
+        "yewrill.traced",
+    }
     assert not unused & set(loaded)
--- a/tests/test_calendar.py
+++ b/tests/test_calendar.py
@@ -39,9 +39,13 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.booleans(), st.integers(0, 28), st.integers(1, 10), st.integers(1, 5)),
-                max_size=25),
-       st.tuples(st.integers(1, 12), st.integers(1, 8), st.integers(0, 25), st.integers(0, 25)))
+@given(
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 28), st.integers(1, 10), st.integers(1, 5)),
+        max_size=25,
+    ),
+    st.tuples(st.integers(1, 12), st.integers(1, 8), st.integers(0, 25), st.integers(0, 25)),
+)
 def test_timeline_is_as_an_array(changes, asked):
     line, naive = Timeline(7), [0] * SPAN
     for adds, start, length, slots in changes:
@@ -59,10 +63,16 @@
             naive[at] += sign * slots
     agree(line, naive)
     length, slots, earliest, latest = asked
-    fit = next((at for at in range(earliest, latest + 1)
-                if all(held + slots <= 7 for held in naive[at:at + length])), None)
+    fit = next(
+        (
+            at
+            for at in range(earliest, latest + 1)
+            if all(held + slots <= 7 for held in naive[at : at + length])
+        ),
+        None,
+    )
     assert line.fits(length, slots, earliest, latest) == fit
-    span = naive[earliest:earliest + length]
+    span = naive[earliest : earliest + length]
     top = [earliest + at for at, held in enumerate(span) if held == max(span)]
     assert line.rims(earliest, earliest + length) == (max(span), top[0], top[-1] + 1)
 
@@ -74,34 +84,59 @@
 FAR = int(datetime(2027, 1, 1, tzinfo=UTC).timestamp()) * 1000
 
 
-@pytest.mark.parametrize("zone, first, starts", [
-    ("Europe/Zurich", datetime(2026, 3, 28, 2, 30), ["03-28 01:30", "03-29 01:30", "03-30 00:30"]),
-    ("Europe/Zurich", datetime(2026, 10, 24, 2, 30), ["10-24 00:30", "10-25 00:30", "10-26 01:30"]),
-    ("Asia/Tokyo", datetime(2026, 3, 28, 2, 30), ["03-27 17:30", "03-28 17:30", "03-29 17:30"])])
+@pytest.mark.parametrize(
+    "zone, first, starts",
+    [
+        (
+            "Europe/Zurich",
+            datetime(2026, 3, 28, 2, 30),
+            ["03-28 01:30", "03-29 01:30", "03-30 00:30"],
+        ),
+        (
+            "Europe/Zurich",
+            datetime(2026, 10, 24, 2, 30),
+            ["10-24 00:30", "10-25 00:30", "10-26 01:30"],
+        ),
+        ("Asia/Tokyo", datetime(2026, 3, 28, 2, 30), ["03-27 17:30", "03-28 17:30", "03-29 17:30"]),
+    ],
+)
 def test_windows_at_a_change_of_clocks(zone, first, starts):
     found = occurrences("FREQ=DAILY;COUNT=3", zone, first, 180 * MINUTE, FAR, 60)
     assert utc(found) == starts
     assert {one.end - one.start for one in found} == {180 * MINUTE}
 
 
-@pytest.mark.parametrize("rule, zone, length, words", [
-    ("FREQ=DAILY", "Europe/Zurich", 60, "more than 60"),
-    ("FREQ=DAILY;COUNT=2", "Europe/Nowhere", 60, "no time zone"),
-    ("FREQ=DAILY;COUNT=2", "../etc/passwd", 60, "no time zone"),
-    ("FREQ=DAILY;COUNT=2", "UTC", 1500, "before the one before it ends"),
-    ("FREQ=OFTEN", "UTC", 60, "can't be read"), ("FREQ=DAILY;INTERVAL=0", "UTC", 60, "interval"),
-    ("FREQ=SECONDLY", "UTC", 60, "by days or more"),
-    ("FREQ=DAILY;UNTIL=20250101T000000", "UTC", 60, "no window")])
+@pytest.mark.parametrize(
+    "rule, zone, length, words",
+    [
+        ("FREQ=DAILY", "Europe/Zurich", 60, "more than 60"),
+        ("FREQ=DAILY;COUNT=2", "Europe/Nowhere", 60, "no time zone"),
+        ("FREQ=DAILY;COUNT=2", "../etc/passwd", 60, "no time zone"),
+        ("FREQ=DAILY;COUNT=2", "UTC", 1500, "before the one before it ends"),
+        ("FREQ=OFTEN", "UTC", 60, "can't be read"),
+        ("FREQ=DAILY;INTERVAL=0", "UTC", 60, "interval"),
+        ("FREQ=SECONDLY", "UTC", 60, "by days or more"),
+        ("FREQ=DAILY;UNTIL=20250101T000000", "UTC", 60, "no window"),
+    ],
+)
 def test_rules_that_are_refused(rule, zone, length, words):
     with pytest.raises(ValueError, match=words):
         occurrences(rule, zone, datetime(2026, 6, 1, 5, 30), length * MINUTE, FAR, 60)
 
 
 TENANTS, HOUR = ("ann", "bob"), 60 * MINUTE
-CONFIG = Config((Capacity("a", "gpu", 10, 4, reserve=2, floor=1, reserve_workers=1),
-                 Capacity("b", "gpu", 8, 4, reserve=2), Capacity("c", "gpu", 3, 3)),
-                {"ann": 300, "bob": 60}, horizon=24 * HOUR, least_notice=5 * MINUTE,
-                offer_holds=30 * MINUTE, cutoff=HOUR)
+CONFIG = Config(
+    (
+        Capacity("a", "gpu", 10, 4, reserve=2, floor=1, reserve_workers=1),
+        Capacity("b", "gpu", 8, 4, reserve=2),
+        Capacity("c", "gpu", 3, 3),
+    ),
+    {"ann": 300, "bob": 60},
+    horizon=24 * HOUR,
+    least_notice=5 * MINUTE,
+    offer_holds=30 * MINUTE,
+    cutoff=HOUR,
+)
 
 
 class BookMachine(RuleBasedStateMachine):
@@ -123,9 +158,15 @@
         self.count += 1
         return f"n{self.count}"
 
-    @rule(tenant=st.sampled_from(TENANTS), slots=st.integers(1, 9), start=st.integers(0, 20),
-          hours=st.integers(1, 4), every=st.sampled_from((1, 1, 3)), slack=st.sampled_from((0, 0, 6)),
-          spread=st.builds(Spread, st.sampled_from((0, 1, 2)), st.integers(1, 2)))
+    @rule(
+        tenant=st.sampled_from(TENANTS),
+        slots=st.integers(1, 9),
+        start=st.integers(0, 20),
+        hours=st.integers(1, 4),
+        every=st.sampled_from((1, 1, 3)),
+        slack=st.sampled_from((0, 0, 6)),
+        spread=st.builds(Spread, st.sampled_from((0, 1, 2)), st.integers(1, 2)),
+    )
     def ask(self, tenant, slots, start, hours, every, slack, spread):
         first = (self.at // HOUR + start) * HOUR
         length = hours * HOUR
@@ -134,14 +175,18 @@
         else:
             starts = range(first, first + every * 5 * HOUR, 5 * HOUR)
             windows = tuple(Window(at, at + length) for at in starts)
-        got = self.enter(Ask(tenant, self.name(), "gpu", slots, windows, length if slack else 0, spread))
+        got = self.enter(
+            Ask(tenant, self.name(), "gpu", slots, windows, length if slack else 0, spread)
+        )
         if isinstance(got, Refused):
             self.offers += [(tenant, one) for one in got.offers]
             if slack and spread.zones == 1 and got.ground == "full":
                 low = max(first, self.at + 5 * MINUTE)
                 last = min(windows[0].end, self.at + 24 * HOUR) - length
-                assert not any(self.book._place("gpu", slots, spread, Window(at, at + length))
-                               for at in range(low, last + 1, MINUTE))
+                assert not any(
+                    self.book._place("gpu", slots, spread, Window(at, at + length))
+                    for at in range(low, last + 1, MINUTE)
+                )
             return
         assert got.windows == windows or slack and windows[0].start <= got.windows[0].start
         for window, placed in zip(got.windows, got.placed, strict=True):
@@ -174,8 +219,12 @@
         if what is Cancel:
             left = {one: placed for one, placed in windows.items() if one.start < self.at + HOUR}
         else:
-            left = {Window(one.start, max(one.start + MINUTE, self.at)) if one.start <= self.at < one.end
-                    else one: placed for one, placed in windows.items()}
+            left = {
+                Window(one.start, max(one.start + MINUTE, self.at))
+                if one.start <= self.at < one.end
+                else one: placed
+                for one, placed in windows.items()
+            }
         self.booked[number] = tenant, left
 
     @rule(minutes=st.sampled_from((1, 20, 90)))
@@ -197,19 +246,30 @@
 
     @invariant()
     def all_is_kept(self):
-        kept = {number: (one.tenant, dict(zip(one.windows, one.placed, strict=True)))
-                for number, one in self.book.open.items() if not one.until}
-        open_ = {number: (tenant, {one: at for one, at in windows.items() if one.end > self.at})
-                 for number, (tenant, windows) in self.booked.items()}
+        kept = {
+            number: (one.tenant, dict(zip(one.windows, one.placed, strict=True)))
+            for number, one in self.book.open.items()
+            if not one.until
+        }
+        open_ = {
+            number: (tenant, {one: at for one, at in windows.items() if one.end > self.at})
+            for number, (tenant, windows) in self.booked.items()
+        }
         assert kept == {number: one for number, one in open_.items() if one[1]}
         for (zone, _), line in self.book.lines.items():
             assert max(line.steps.values(), default=0) <= {"a": 7, "b": 6, "c": 3}[zone]
         assert self.book.pack() == self.other.pack()
         assert {key: one.steps for key, one in self.book.lines.items()} == {
-            key: one.steps for key, one in self.other.lines.items()}
+            key: one.steps for key, one in self.other.lines.items()
+        }
         assert max(self.book.held.values(), default=0) <= 9
 
 
-BookMachine.TestCase.settings = settings(max_examples=250, stateful_step_count=30, deadline=None,
-                                         derandomize=True, suppress_health_check=list(HealthCheck))
+BookMachine.TestCase.settings = settings(
+    max_examples=250,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 test_book_machine = BookMachine.TestCase
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -27,7 +27,9 @@
 
 
 def sent(at, job="j", **more):
-    return line(at, "client", "sent", **{"job": job, "kind": "tour", "to": "d", "timeout": 2.0, **more})
+    return line(
+        at, "client", "sent", **{"job": job, "kind": "tour", "to": "d", "timeout": 2.0, **more}
+    )
 
 
 def answer(at, job="j"):
@@ -43,41 +45,66 @@
 
 
 COLD = line(0, "p", "cold", slots=2, start=0.5, warm=4.0)
-SOUND = [sent(0), begin(0.1), end(0.3), begin(0.4, "q"), end(0.5, "q"), answer(0.6),
-         sent(1, "k"), begin(1.1, job="k", kind="once"), end(1.2, job="k"), answer(1.3, "k")]
+SOUND = [
+    sent(0),
+    begin(0.1),
+    end(0.3),
+    begin(0.4, "q"),
+    end(0.5, "q"),
+    answer(0.6),
+    sent(1, "k"),
+    begin(1.1, job="k", kind="once"),
+    end(1.2, job="k"),
+    answer(1.3, "k"),
+]
 
 
 def plan(at, number, by="d", **shares):
     return line(at, by, "plan", number=number, shares=shares)
 
 
-@pytest.mark.parametrize(("history", "kinds"), [
-    (SOUND, []),
-    ([sent(0), answer(1), answer(1.1)], ["answered-twice"]),
-    ([sent(0), line(9, "rig", "settled", living=[])], ["unanswered"]),
-    ([sent(0), line(1, "client", "lost", job="j", why="reset")], ["unanswered"]),
-    ([line(0.5, "d", "kill"), sent(0), line(1, "client", "lost", job="j", why="reset")], []),
-    ([sent(0), answer(3.5)], ["answered-late"]),
-    ([sent(0), begin(0.1), begin(0.3, "q"), end(0.9), end(0.5, "q"), answer(1)], ["overlap"]),
-    ([sent(0), begin(0.1), end(0.5), begin(0.3, "q"), end(0.5, "q"), answer(1)], []),
-    ([sent(0), begin(0.1), begin(0.101), end(0.9), end(0.9), answer(1)], ["overlap"]),
-    ([begin(0.1, kind="once"), end(0.2), begin(0.3, "q", kind="once"), end(0.4, "q")], ["sent-again"]),
-    ([line(0, "p", "drain"), begin(0.9), end(1.0), begin(1.2), end(1.3)], ["drained"]),
-    ([line(0, "p", "drain"), line(1, "p", "serve"), begin(1.2), end(1.3)], []),
-    ([COLD, *(begin(0.5 + i / 100, job=f"j{i}", run=0.5) for i in range(9))], ["cold"]),
-    ([COLD, *(begin(0.5 + i / 2, job=f"j{i}", run=0.5) for i in range(9))], []),
-    ([plan(0, 0), plan(1, 4), plan(2, 3)], ["old-plan"]),
-    ([plan(0, 4), line(1, "d", "start"), plan(2, 3)], []),
-    ([plan(0, 0), plan(1, 1, z=0.0)], ["false-leave"]),
-    ([line(0, "rig", "zone-fails", zone="z"), plan(0.1, 0), plan(1, 1, z=0.0)], []),
-    ([plan(0, 0), {**plan(1, 1, z=0.5), "back": ["z"]}], []),
-    ([plan(1, 1), plan(1, 2, "e"), line(2, "rig", "settled", living=["d", "e"])], ["plans-differ"]),
-    ([line(0, "d", "owns", duty="x", number=2), line(1, "e", "owns", duty="x", number=3)], []),
-    ([line(0, "d", "owns", duty="x", number=2), line(1, "e", "owns", duty="x", number=2)], ["two-owners"]),
-    ([line(0, "d", "taken-out", profiler="p"), begin(0.5, job="d-1"), begin(2, job="e-1")], []),
-    ([line(0, "d", "taken-out", profiler="p"), line(1, "d", "kill"), begin(2, job="d-2")], ["forgotten"]),
-    ([plan(1, 1), plan(1, 2, "e"), line(2, "rig", "settled", living=["d"])], []),
-])
+@pytest.mark.parametrize(
+    ("history", "kinds"),
+    [
+        (SOUND, []),
+        ([sent(0), answer(1), answer(1.1)], ["answered-twice"]),
+        ([sent(0), line(9, "rig", "settled", living=[])], ["unanswered"]),
+        ([sent(0), line(1, "client", "lost", job="j", why="reset")], ["unanswered"]),
+        ([line(0.5, "d", "kill"), sent(0), line(1, "client", "lost", job="j", why="reset")], []),
+        ([sent(0), answer(3.5)], ["answered-late"]),
+        ([sent(0), begin(0.1), begin(0.3, "q"), end(0.9), end(0.5, "q"), answer(1)], ["overlap"]),
+        ([sent(0), begin(0.1), end(0.5), begin(0.3, "q"), end(0.5, "q"), answer(1)], []),
+        ([sent(0), begin(0.1), begin(0.101), end(0.9), end(0.9), answer(1)], ["overlap"]),
+        (
+            [begin(0.1, kind="once"), end(0.2), begin(0.3, "q", kind="once"), end(0.4, "q")],
+            ["sent-again"],
+        ),
+        ([line(0, "p", "drain"), begin(0.9), end(1.0), begin(1.2), end(1.3)], ["drained"]),
+        ([line(0, "p", "drain"), line(1, "p", "serve"), begin(1.2), end(1.3)], []),
+        ([COLD, *(begin(0.5 + i / 100, job=f"j{i}", run=0.5) for i in range(9))], ["cold"]),
+        ([COLD, *(begin(0.5 + i / 2, job=f"j{i}", run=0.5) for i in range(9))], []),
+        ([plan(0, 0), plan(1, 4), plan(2, 3)], ["old-plan"]),
+        ([plan(0, 4), line(1, "d", "start"), plan(2, 3)], []),
+        ([plan(0, 0), plan(1, 1, z=0.0)], ["false-leave"]),
+        ([line(0, "rig", "zone-fails", zone="z"), plan(0.1, 0), plan(1, 1, z=0.0)], []),
+        ([plan(0, 0), {**plan(1, 1, z=0.5), "back": ["z"]}], []),
+        (
+            [plan(1, 1), plan(1, 2, "e"), line(2, "rig", "settled", living=["d", "e"])],
+            ["plans-differ"],
+        ),
+        ([line(0, "d", "owns", duty="x", number=2), line(1, "e", "owns", duty="x", number=3)], []),
+        (
+            [line(0, "d", "owns", duty="x", number=2), line(1, "e", "owns", duty="x", number=2)],
+            ["two-owners"],
+        ),
+        ([line(0, "d", "taken-out", profiler="p"), begin(0.5, job="d-1"), begin(2, job="e-1")], []),
+        (
+            [line(0, "d", "taken-out", profiler="p"), line(1, "d", "kill"), begin(2, job="d-2")],
+            ["forgotten"],
+        ),
+        ([plan(1, 1), plan(1, 2, "e"), line(2, "rig", "settled", living=["d"])], []),
+    ],
+)
 def test_the_auditor_finds_each_breach_and_nothing_in_a_sound_history(history, kinds):
     assert [breach.kind for breach in audit(history, TERMS)] == kinds
 
@@ -85,12 +112,14 @@
 @story
 async def test_each_direction_of_a_link_fails_by_itself():
     async with trio.open_nursery() as nursery:
+
         async def echo(stream):
             async for data in stream:
                 await stream.send_all(data.upper())
 
-        listeners = await nursery.start(lambda task_status: trio.serve_tcp(
-            echo, 0, host="127.0.0.1", task_status=task_status))
+        listeners = await nursery.start(
+            lambda task_status: trio.serve_tcp(echo, 0, host="127.0.0.1", task_status=task_status)
+        )
         links = Links(nursery)
         address = await links.relay("a", "b", listeners[0].socket.getsockname())
         stream = await trio.open_tcp_stream(*address)
@@ -122,6 +151,7 @@
                 rig.links.heal()
                 while (await rig.ask("d0", "/_members"))["members"][1]["state"] != "alive":
                     await trio.sleep(0.05)
+
     trio.run(run, clock=Slow(measured()))
 
 
@@ -129,23 +159,31 @@
     return line(at, by, "late", seconds=seconds)
 
 
-@pytest.mark.parametrize(("history", "seconds"), [
-    ([sent(0), late(1, 0.3), late(2, 0.3)], 0.0),
-    ([sent(0), late(1, 0.5)], 0.5),
-    ([sent(0), *(late(i, 0.25) for i in range(12))], 3.0),
-    ([late(0, 0.9), sent(1)], 0.0),  # nobody was owed anything yet
-    ([late(0, 0.9)], 0.9),  # and never came to be
-    ([sent(0), line(5, "d", "resume"), late(5.1, 4.0)], 0.0),
-    ([sent(0), line(5, "d", "resume"), late(5.1, 4.0, "e")], 4.0),
-])
-def test_an_installation_is_starved_where_its_loops_were_late_by_what_nobody_meant(history, seconds):
+@pytest.mark.parametrize(
+    ("history", "seconds"),
+    [
+        ([sent(0), late(1, 0.3), late(2, 0.3)], 0.0),
+        ([sent(0), late(1, 0.5)], 0.5),
+        ([sent(0), *(late(i, 0.25) for i in range(12))], 3.0),
+        ([late(0, 0.9), sent(1)], 0.0),  # nobody was owed anything yet
+        ([late(0, 0.9)], 0.9),  # and never came to be
+        ([sent(0), line(5, "d", "resume"), late(5.1, 4.0)], 0.0),
+        ([sent(0), line(5, "d", "resume"), late(5.1, 4.0, "e")], 4.0),
+    ],
+)
+def test_an_installation_is_starved_where_its_loops_were_late_by_what_nobody_meant(
+    history, seconds
+):
     assert pace.starved(history) == pytest.approx(seconds)
 
 
-@pytest.mark.parametrize(("well", "late_by", "paces"), [
-    (True, 9.0, [2.0]), (False, 0.0, [2.0]), (False, 9.0, [2.0, 4.0, 8.0, 16.0, 32.0])])
+@pytest.mark.parametrize(
+    ("well", "late_by", "paces"),
+    [(True, 9.0, [2.0]), (False, 0.0, [2.0]), (False, 9.0, [2.0, 4.0, 8.0, 16.0, 32.0])],
+)
 def test_only_what_was_starved_and_not_well_is_played_again_slower_and_that_is_said(
-        well, late_by, paces, monkeypatch, capsys):
+    well, late_by, paces, monkeypatch, capsys
+):
     monkeypatch.setattr(pace, "_learned", 1.0)
     monkeypatch.setattr(pace, "measured", lambda: 2.0)
     played = []
@@ -179,8 +217,14 @@
 
 
 @story
-async def test_a_call_that_a_door_had_no_time_for_is_made_again_and_one_turned_down_is_told(tmp_path):
-    answers = [(408, b"the request took too long\n"), (200, b'{"members": []}'), (503, b"not yet\n")]
+async def test_a_call_that_a_door_had_no_time_for_is_made_again_and_one_turned_down_is_told(
+    tmp_path,
+):
+    answers = [
+        (408, b"the request took too long\n"),
+        (200, b'{"members": []}'),
+        (503, b"not yet\n"),
+    ]
 
     async def door(stream):
         http = Http(stream)
@@ -196,17 +240,36 @@
 
 
 PLAYED = (  # the others are played by benchmarks/cluster.py
-    "zone-dies", "zone-mute", "zone-fails-jobs", "lossy-network", "cut-off-from-one", "members-in-halves",
-    "paused-with-an-old-plan", "cold-return", "a-profiler-drains", "killed-after-an-order", "rolling-restart",
-    "operators-order", "owner-sleeps", "owner-cut-off", "view-loses-one", "view-in-halves",
-    "view-cut-in-one-direction", "view-past-a-sleeper", "view-after-all-were-killed",
+    "zone-dies",
+    "zone-mute",
+    "zone-fails-jobs",
+    "lossy-network",
+    "cut-off-from-one",
+    "members-in-halves",
+    "paused-with-an-old-plan",
+    "cold-return",
+    "a-profiler-drains",
+    "killed-after-an-order",
+    "rolling-restart",
+    "operators-order",
+    "owner-sleeps",
+    "owner-cut-off",
+    "view-loses-one",
+    "view-in-halves",
+    "view-cut-in-one-direction",
+    "view-past-a-sleeper",
+    "view-after-all-were-killed",
 )
 BROKEN = {  # what a dispatcher does wrong: where it shows, and as what
     "answer-twice": ("operators-order", "answered-twice"),
-    "overlap": ("zone-mute", "overlap"), "drain": ("a-profiler-drains", "drained"),
-    "return-at-once": ("cold-return", "cold"), "old-plan": ("zone-dies", "old-plan"),
-    "again": ("operators-order", "sent-again"), "lies": ("killed-after-an-order", "forgotten"),
-    "minority": ("view-in-halves", "views-differ"), "own-lease": ("view-in-halves", "both-sides"),
+    "overlap": ("zone-mute", "overlap"),
+    "drain": ("a-profiler-drains", "drained"),
+    "return-at-once": ("cold-return", "cold"),
+    "old-plan": ("zone-dies", "old-plan"),
+    "again": ("operators-order", "sent-again"),
+    "lies": ("killed-after-an-order", "forgotten"),
+    "minority": ("view-in-halves", "views-differ"),
+    "own-lease": ("view-in-halves", "both-sides"),
     "accuse": ("view-loses-one", "false-out"),
 }
 
@@ -262,7 +325,9 @@
 def test_the_command_plays_a_scenario_and_reads_it_again(tmp_path):
     runner = CliRunner()
     assert "zone-dies" in runner.invoke(main, ["lab", "cluster", "list"]).output
-    result = runner.invoke(main, ["lab", "cluster", "run", "operators-order", "--keep", str(tmp_path)])
+    result = runner.invoke(
+        main, ["lab", "cluster", "run", "operators-order", "--keep", str(tmp_path)]
+    )
     assert result.exit_code == 0 and "clean" in result.output
     kept = str(tmp_path / "operators-order-1")
     assert runner.invoke(main, ["lab", "cluster", "audit", kept]).exit_code == 0
@@ -272,5 +337,3 @@
         history[0]["cold_multiple"] = multiple
         (tmp_path / "history.jsonl").write_text("".join(json.dumps(at) + "\n" for at in history))
         assert runner.invoke(main, ["lab", "cluster", "audit", str(tmp_path)]).exit_code == status
-
-
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -23,11 +23,25 @@
     # Aims tell little of run times: the module's first guess may be a tenth of them.
     aim = mean * rng.uniform(0.2, 1.0)
     widths = (0.85, 0.15, 0.0)
-    classes = {"usual": (0.7, mean, widths, aim, 2.0, 1.0), "long": (0.3, 2.0 * mean, widths, aim, 2.0, 2.0)}
-    return World(rng.getrandbits(32), dispatchers, workers, rng.randint(3, 6), 1.0, classes, (-0.125, 0.5),
-                 max(3000.0, mean * rng.uniform(5.0, 12.0)), start_capacity=rng.uniform(0.3, 0.6),
-                 warm_after=rng.uniform(3000.0, 9000.0), cold_multiple=rng.uniform(2.5, 4.0),
-                 cold_window=rng.uniform(2000.0, 3000.0), **fleet)
+    classes = {
+        "usual": (0.7, mean, widths, aim, 2.0, 1.0),
+        "long": (0.3, 2.0 * mean, widths, aim, 2.0, 2.0),
+    }
+    return World(
+        rng.getrandbits(32),
+        dispatchers,
+        workers,
+        rng.randint(3, 6),
+        1.0,
+        classes,
+        (-0.125, 0.5),
+        max(3000.0, mean * rng.uniform(5.0, 12.0)),
+        start_capacity=rng.uniform(0.3, 0.6),
+        warm_after=rng.uniform(3000.0, 9000.0),
+        cold_multiple=rng.uniform(2.5, 4.0),
+        cold_window=rng.uniform(2000.0, 3000.0),
+        **fleet,
+    )
 
 
 def flood(world):
@@ -58,8 +72,17 @@
     world.rate = 1e-6
     new = appear(world)
     world.run(rng.uniform(0.3, 0.8) * world.settings["warm_after"])
-    for _ in range(int(3 * world.settings["cold_multiple"] * world.slots * OLD
-                       * world.settings["cold_window"] / world.work) + 2 * dispatchers):
+    for _ in range(
+        int(
+            3
+            * world.settings["cold_multiple"]
+            * world.slots
+            * OLD
+            * world.settings["cold_window"]
+            / world.work
+        )
+        + 2 * dispatchers
+    ):
         world.at(world.now + 20.0 * world.rng.random(), world.ask)
     flood(world)
     return world.run(world.settings["warm_after"]), new
@@ -72,7 +95,9 @@
     new = appear(world.run(500.0))
     for i in range(dispatchers):
         if dispatchers == 1 or rng.random() < 0.7:
-            world.at(world.now + rng.uniform(0.2, 0.6) * world.settings["warm_after"], world.restart, i)
+            world.at(
+                world.now + rng.uniform(0.2, 0.6) * world.settings["warm_after"], world.restart, i
+            )
     return world.run(world.settings["warm_after"]), new
 
 
@@ -96,9 +121,13 @@
     """A fleet large enough for windows, placed unevenly: indexes untold, or told in blocks by zone."""
     zones = rng.randint(1, 3)
     first = rng.uniform(0.4, 0.8) * dispatchers  # so many in a zone, while they last
-    places = [{"index": i if zones > 1 else -1, "zone": min(zones - 1, int(i / first))}
-              for i in range(dispatchers)]
-    world = drawn(rng, dispatchers, 12, MEANS[2:], zones=zones, places=places, fees={"cross_zone": 0.1})
+    places = [
+        {"index": i if zones > 1 else -1, "zone": min(zones - 1, int(i / first))}
+        for i in range(dispatchers)
+    ]
+    world = drawn(
+        rng, dispatchers, 12, MEANS[2:], zones=zones, places=places, fees={"cross_zone": 0.1}
+    )
     world.run(3000.0)
     flood(world)
     new = appear(world.run(500.0))
@@ -107,7 +136,14 @@
 
 # Draws, of the first ten, that broke the rule before its mend at one size or another, or (the second of
 # `restarted`) with half of the mend; the large fleet plays the first of each.
-DRAWS = {held: (0, 5), quiet: (7, 2, 8), restarted: (6, 4), begun: (6, 9), erring: (0, 9), parted: (2,)}
+DRAWS = {
+    held: (0, 5),
+    quiet: (7, 2, 8),
+    restarted: (6, 4),
+    begun: (6, 9),
+    erring: (0, 9),
+    parted: (2,),
+}
 
 
 def excess(world, host):
@@ -134,15 +170,19 @@
     """The part of what cold workers may take in all, at their own capacity, that they were sent."""
     terms = world.settings
     capacity = len(new) * world.slots * (1.0 + terms["start_capacity"]) / 2.0 * terms["warm_after"]
-    sent = sum(work for host in new for at, work in host.cold_work
-               if at - host.launched < terms["warm_after"])
+    sent = sum(
+        work
+        for host in new
+        for at, work in host.cold_work
+        if at - host.launched < terms["warm_after"]
+    )
     return sent / (terms["cold_multiple"] * capacity)
 
 
 @pytest.mark.parametrize("case", DRAWS, ids=lambda case: case.__name__)
 @pytest.mark.parametrize("dispatchers", SIZES)
 def test_a_cold_workers_budget_holds_for_the_sum_of_all_dispatchers(dispatchers, case):
-    for draw in DRAWS[case][:1 if dispatchers == 200 else None]:
+    for draw in DRAWS[case][: 1 if dispatchers == 200 else None]:
         world, new = case(random.Random(f"{case.__name__} {draw}"), dispatchers)
         for host in new:
             over, n = excess(world, host)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -31,12 +31,12 @@
 
 
 async def half_an_answer(exchange):
-    await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"version\":")
+    await exchange.stream.send_all(b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"version":')
     await exchange.closed()
 
 
 async def half_and_gone(exchange):
-    await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"version\":")
+    await exchange.stream.send_all(b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"version":')
     await trio.aclose_forcefully(exchange.stream)
 
 
@@ -180,7 +180,9 @@
         watch.move(home)
         began = trio.current_time()
         await w.until(lambda: not w.service.pool.may_send("d1"))
-        assert trio.current_time() - began < 4.0  # what counts as told then is what it had at SIGHUP
+        assert (
+            trio.current_time() - began < 4.0
+        )  # what counts as told then is what it had at SIGHUP
         assert "from=" not in w.discovery.calls[calls][1]
     hole.close()
 
@@ -236,10 +238,12 @@
         version, peers[0].state = w.discovery.version + 1, "SERVING"
 
         async def indented(exchange):
-            body = ujson.dumps({"version": version, "full": True, "servers": [peers[0].entry()]},
-                               indent=4).encode()
-            await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
-                                           % (len(body), body))
+            body = ujson.dumps(
+                {"version": version, "full": True, "servers": [peers[0].entry()]}, indent=4
+            ).encode()
+            await exchange.stream.send_all(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
             w.discovery.peer.script = silent
 
         w.discovery.peer.script = indented
@@ -261,11 +265,16 @@
             calls.append(at := at + pause)
     for second in range(20):
         assert sum(second <= at < second + 1 for at in calls) <= a_second
-    assert poolconfig.RETRY + poolconfig.HOLD_MS / 1000.0 + poolconfig.PATIENCE + poolconfig.CONNECT < TOLD
+    assert (
+        poolconfig.RETRY + poolconfig.HOLD_MS / 1000.0 + poolconfig.PATIENCE + poolconfig.CONNECT
+        < TOLD
+    )
 
 
 @story
-async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out(tmp_path):
+async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out(
+    tmp_path,
+):
     # The real program under the system's own bound, with more idle connections than it has descriptors:
     # half of them kept after a job, half that never said a word.
     peers = [Peer("d1", done), Peer("d2", done)]
@@ -274,9 +283,16 @@
             await nursery.start(peer.serve)
         discovery = Discovery(peers[:1])
         config = tmp_path / "config.json"
-        config.write_text(ujson.dumps({
-            "listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS,
-            "limits": {"sockets": 128}}))
+        config.write_text(
+            ujson.dumps(
+                {
+                    "listen": "127.0.0.1:0",
+                    "discovery": await discovery.serve(nursery),
+                    "settings": SETTINGS,
+                    "limits": {"sockets": 128},
+                }
+            )
+        )
         async with program(nursery, config, descriptors=128) as running:
             while (await running.ask("/up", "GET", b"")).status != 200:
                 await trio.sleep(0.01)
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -18,13 +18,18 @@
     found = []
     for name in draw(st.lists(NAMES, min_size=1, max_size=6, unique=True)):
         deadline = draw(st.sampled_from([150.0, 400.0, 1200.0]))
-        found.append({
-            "name": name, "deadline": deadline, "aim": deadline * draw(st.sampled_from([0.05, 0.4, 1.0])),
-            "repeat": draw(st.sampled_from(["pure", "token", "token", "side_effect"])),
-            "group": draw(st.sampled_from(["all", "zone", "cell", "cell"])),
-            "window": draw(st.sampled_from([200.0, 5000.0, 40000.0])),
-            "value": draw(st.sampled_from([0.0, 1.0, 10.0])),
-            "late_value": draw(st.sampled_from([0.0, 0.5]))})
+        found.append(
+            {
+                "name": name,
+                "deadline": deadline,
+                "aim": deadline * draw(st.sampled_from([0.05, 0.4, 1.0])),
+                "repeat": draw(st.sampled_from(["pure", "token", "token", "side_effect"])),
+                "group": draw(st.sampled_from(["all", "zone", "cell", "cell"])),
+                "window": draw(st.sampled_from([200.0, 5000.0, 40000.0])),
+                "value": draw(st.sampled_from([0.0, 1.0, 10.0])),
+                "late_value": draw(st.sampled_from([0.0, 0.5])),
+            }
+        )
     return found
 
 
@@ -33,23 +38,41 @@
     """A deployment's settings."""
     tenants = draw(st.lists(NAMES, max_size=8, unique=True))
     return {
-        **SETTINGS, "request_classes": draw(classes()),
+        **SETTINGS,
+        "request_classes": draw(classes()),
         "areas": ["room", *draw(st.lists(NAMES, max_size=3, unique=True))],
         "kinds": ["std", *draw(st.lists(NAMES, max_size=2, unique=True))],
-        "parties": [{"name": name, "quota_per_s": draw(st.sampled_from([0.0, 5.0, 1000.0])),
-                     "share": 1.0 / len(tenants)} for name in tenants],
-        "instances": draw(st.sampled_from([1, 2, 5, 30, 200])), "index": 0,
+        "parties": [
+            {
+                "name": name,
+                "quota_per_s": draw(st.sampled_from([0.0, 5.0, 1000.0])),
+                "share": 1.0 / len(tenants),
+            }
+            for name in tenants
+        ],
+        "instances": draw(st.sampled_from([1, 2, 5, 30, 200])),
+        "index": 0,
         "registry_mode": draw(st.sampled_from(["push", "ask"])),
         "counted_by": draw(st.sampled_from(["work", "request"])),
-        "limits": {"try_limit": draw(st.integers(1, 6)),
-                   "connect_timeout": draw(st.sampled_from([50.0, 150.0, 1000.0])),
-                   "idle_close": draw(st.sampled_from([1000.0, 30000.0])), "max_retry_after": 2000.0,
-                   "retry_after": draw(st.booleans()), "may_probe": draw(st.booleans()),
-                   "cancel": draw(st.booleans())},
-        "specifics": {"tells_start": draw(st.booleans()), "progress": draw(st.sampled_from([0.0, 300.0])),
-                      "queue_order": "fifo"},
-        "rules": {**SETTINGS["rules"], "fall_multiple": draw(st.sampled_from([0.5, 2.5, 4.0])),
-                  "stop_sending_within": draw(st.sampled_from([0.0, 250.0, 3000.0]))},
+        "limits": {
+            "try_limit": draw(st.integers(1, 6)),
+            "connect_timeout": draw(st.sampled_from([50.0, 150.0, 1000.0])),
+            "idle_close": draw(st.sampled_from([1000.0, 30000.0])),
+            "max_retry_after": 2000.0,
+            "retry_after": draw(st.booleans()),
+            "may_probe": draw(st.booleans()),
+            "cancel": draw(st.booleans()),
+        },
+        "specifics": {
+            "tells_start": draw(st.booleans()),
+            "progress": draw(st.sampled_from([0.0, 300.0])),
+            "queue_order": "fifo",
+        },
+        "rules": {
+            **SETTINGS["rules"],
+            "fall_multiple": draw(st.sampled_from([0.5, 2.5, 4.0])),
+            "stop_sending_within": draw(st.sampled_from([0.0, 250.0, 3000.0])),
+        },
     }
 
 
@@ -72,11 +95,14 @@
                     await exchange.closed()
             finally:
                 seen["over"] = trio.current_time()
+
         return run
 
 
 async def half(exchange):
-    await exchange.stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30\r\n{\"id\":")
+    await exchange.stream.send_all(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30\r\n{"id":'
+    )
 
 
 async def silent(exchange):
@@ -89,8 +115,12 @@
 
 END = {
     "done": lambda exchange: exchange.done(result=f"for {exchange.id}"),
-    "failed": lambda exchange: exchange.status(500), "reset": resets, "half": half, "silent": silent,
-    "lost": lambda exchange: exchange.say("lost"), "garbled": lambda exchange: exchange.raw("{]\n"),
+    "failed": lambda exchange: exchange.status(500),
+    "reset": resets,
+    "half": half,
+    "silent": silent,
+    "lost": lambda exchange: exchange.say("lost"),
+    "garbled": lambda exchange: exchange.raw("{]\n"),
     "returned": lambda exchange: exchange.say("returned"),
     "turned away": lambda exchange: exchange.status(503, "X-Not-Processed: 1"),
 }
@@ -103,20 +133,29 @@
     for before, after in zip(attempts, attempts[1:], strict=False):
         assert before["over"] is not None and before["over"] <= after["at"], "two attempts out"
     if job_class["repeat"] == "side_effect":
-        assert len(ran) <= 1 and (not ran or ran[-1] is attempts[-1]), "sent again though it may have run"
+        assert len(ran) <= 1 and (not ran or ran[-1] is attempts[-1]), (
+            "sent again though it may have run"
+        )
     if job_class["repeat"] == "token" and ran:
-        after = attempts[attempts.index(ran[0]):]
+        after = attempts[attempts.index(ran[0]) :]
         assert after[-1]["at"] - ran[0]["at"] <= job_class["window"] / 1000.0, "past its window"
         if job_class["group"] == "cell":
             assert len({a["cell"] for a in after}) == 1, "outside its group"
     bound = job_class["repeat"] == "side_effect" or (
-        job_class["repeat"] == "token" and job_class["group"] != "all")
+        job_class["repeat"] == "token" and job_class["group"] != "all"
+    )
     assert not (status in (429, 503) and ran and bound), "refused though it may have run"
     assert (status == 200) == bool(attempts and attempts[-1]["how"] == "done")
 
 
-@settings(max_examples=16, deadline=None, derandomize=True, database=None, phases=[Phase.generate],
-          suppress_health_check=list(HealthCheck))
+@settings(
+    max_examples=16,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 @given(customer=customers(), seed=st.integers(0, 2**32))
 def test_any_customers_settings_start_the_program_and_every_rule_is_kept(customer, seed):
     played(customer=customer, seed=seed)
@@ -127,15 +166,26 @@
     witness = Witness(seed)
     peers = [Peer(f"d{i}", witness.script(i // 2), cell=i // 2) for i in range(4)]
     async with world(*peers, settings=customer) as w:
+
         async def one(i: int, job_class: dict) -> None:
             id, began = f"r{i}-{job_class['name']}", trio.current_time()
             tenants = [party["name"] for party in customer["parties"]]
             tenant = tenants[i % len(tenants)] if tenants else None
             patience = job_class["deadline"]
-            reply = await w.ask(f"/{job_class['name']}", X_Request_ID=id, X_Tenant_Id=tenant,
-                                X_Timeout_Ms=f"{patience:.0f}", Idempotency_Key=f"k{i}")
+            reply = await w.ask(
+                f"/{job_class['name']}",
+                X_Request_ID=id,
+                X_Tenant_Id=tenant,
+                X_Timeout_Ms=f"{patience:.0f}",
+                Idempotency_Key=f"k{i}",
+            )
             assert trio.current_time() - began <= patience / 1000.0
-            kept(job_class, customer["limits"]["try_limit"], witness.attempts.get(id, []), reply.status)
+            kept(
+                job_class,
+                customer["limits"]["try_limit"],
+                witness.attempts.get(id, []),
+                reply.status,
+            )
             if reply.status == 200:
                 assert reply.body == f"for {id}".encode()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -25,8 +25,14 @@
 from yewrill.net.listener import Client as Served
 
 # Time enough for a job to be held for as long as a story needs.
-ROOMY = {"request_classes": [{**c, "aim": 8000.0, "deadline": 16000.0} for c in SETTINGS["request_classes"]]}
-LONG = {"X_Timeout_Ms": "15000"}  # every request's: one with less than another is taken for its retry
+ROOMY = {
+    "request_classes": [
+        {**c, "aim": 8000.0, "deadline": 16000.0} for c in SETTINGS["request_classes"]
+    ]
+}
+LONG = {
+    "X_Timeout_Ms": "15000"
+}  # every request's: one with less than another is taken for its retry
 FRONTS = pytest.mark.parametrize("front", ["platform", "progress"])
 
 # -- a client that has gone
@@ -43,7 +49,9 @@
 
 
 @story
-async def test_a_client_that_closes_as_the_workers_connection_comes_up_has_nothing_sent(monkeypatch):
+async def test_a_client_that_closes_as_the_workers_connection_comes_up_has_nothing_sent(
+    monkeypatch,
+):
     peer = Peer("d1", done)
     async with world(peer, settings=ROOMY) as w:
         client, real, opened = await w.client(), Connection.open, []
@@ -99,8 +107,11 @@
         self.decisions = w.service.decisions
         self.module = self.decisions._module
         self.worker = ""
-        monkeypatch.setattr(self.module.choice, "worker_for",
-                            lambda job, need: self.module.fleet.workers.get(self.worker))
+        monkeypatch.setattr(
+            self.module.choice,
+            "worker_for",
+            lambda job, need: self.module.fleet.workers.get(self.worker),
+        )
         monkeypatch.setattr(self.module.admission, "admit", lambda job, now: "")
 
     @property
@@ -184,7 +195,9 @@
 
 @FRONTS
 @story
-async def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent(front, monkeypatch):
+async def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent(
+    front, monkeypatch
+):
     peer = Peer("d1", done)
     async with world(peer, front=front, settings=ROOMY) as w:
         client, real, opening, go_on = await w.client(), Connection.open, trio.Event(), trio.Event()
@@ -222,7 +235,9 @@
 @pytest.mark.parametrize("leave", [hang_up, reset])
 @FRONTS
 @story
-async def test_the_end_of_a_client_that_has_filled_its_ring_is_seen(front, leave, much, monkeypatch):
+async def test_the_end_of_a_client_that_has_filled_its_ring_is_seen(
+    front, leave, much, monkeypatch
+):
     peer = Peer("d1", done)
     async with world(peer, front=front, settings=ROOMY) as w:
         gate = Gate(w, monkeypatch)
@@ -243,7 +258,9 @@
 
 
 @story
-async def test_a_client_that_sends_for_ever_is_read_at_a_bounded_pace_and_has_its_answer(monkeypatch):
+async def test_a_client_that_sends_for_ever_is_read_at_a_bounded_pace_and_has_its_answer(
+    monkeypatch,
+):
     reads = []
     real = Connection.drop_now
 
@@ -252,7 +269,9 @@
         return reads[-1]
 
     monkeypatch.setattr(Connection, "drop_now", counted)
-    monkeypatch.setattr(listener, "OVERRUN_SHARE", 1e9)  # so that the pause after the first read has no end
+    monkeypatch.setattr(
+        listener, "OVERRUN_SHARE", 1e9
+    )  # so that the pause after the first read has no end
     peer = Peer("d1", done)
     async with world(peer, settings=ROOMY) as w:
         gate = Gate(w, monkeypatch)
@@ -309,7 +328,9 @@
 
 @FRONTS
 @story
-async def test_a_request_that_is_half_written_as_its_client_leaves_is_never_whole(front, monkeypatch):
+async def test_a_request_that_is_half_written_as_its_client_leaves_is_never_whole(
+    front, monkeypatch
+):
     peer = Reluctant("d1", done)
     async with world(peer, front=front, settings=ROOMY) as w:
         opened = open_with_little_room(monkeypatch)
@@ -371,12 +392,16 @@
         await w.until(lambda: left.gone)
         assert len(peer.live) == 1
         go_on.set()
-        await w.until(lambda: w.service.destinations._idle.get("d1"))  # its end told much, and it is kept
+        await w.until(
+            lambda: w.service.destinations._idle.get("d1")
+        )  # its end told much, and it is kept
 
 
 @pytest.mark.parametrize("leaves", [True, False])
 @story
-async def test_a_stream_whose_head_is_not_taken_has_nothing_sent_once_its_reader_is_gone(leaves, monkeypatch):
+async def test_a_stream_whose_head_is_not_taken_has_nothing_sent_once_its_reader_is_gone(
+    leaves, monkeypatch
+):
     """It leaves while its head is being written, or takes it so slowly that it is given up."""
     peer, real, writing, go_on = Peer("d1", done), Served.send, trio.Event(), trio.Event()
 
@@ -473,8 +498,10 @@
 
 
 def raw_request(id: str) -> bytes:
-    return (f"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\n"
-            f"X-Timeout-Ms: {LONG['X_Timeout_Ms']}\r\nContent-Length: 2\r\n\r\n{{}}").encode()
+    return (
+        f"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\n"
+        f"X-Timeout-Ms: {LONG['X_Timeout_Ms']}\r\nContent-Length: 2\r\n\r\n{{}}"
+    ).encode()
 
 
 async def narrow_client(w) -> Client:
@@ -613,7 +640,8 @@
 @pytest.mark.parametrize("let_go", [restart, release])
 @story
 async def test_a_request_that_crosses_a_resting_connections_end_kills_no_answer_and_is_not_served(
-        let_go, monkeypatch):
+    let_go, monkeypatch
+):
     monkeypatch.setattr(listener, "PART_TIME", 10.0)
     peer = Peer("d1", much)
     async with world(peer, settings=ROOMY) as w:
@@ -637,13 +665,18 @@
     peer = Peer("d1", much)
     async with world(peer, settings=ROOMY) as w:
         client = await narrow_client(w)
-        sent = as_it_is_sent(monkeypatch, lambda: restart(w))  # too late for it to say that it closes
+        sent = as_it_is_sent(
+            monkeypatch, lambda: restart(w)
+        )  # too late for it to say that it closes
         as_it_is_looked_at(monkeypatch, lambda: client.stream.socket._sock.send(raw_request("r2")))
         await client.send(**LONG)
         await sent.wait()
         await trio.testing.wait_all_tasks_blocked()
         reply = await client.reply()
-        assert (reply.status, len(reply.body)) == (200, len(WHOLE)) and "connection" not in reply.headers
+        assert (reply.status, len(reply.body)) == (
+            200,
+            len(WHOLE),
+        ) and "connection" not in reply.headers
         assert await all_of(client) == b""
         await client.stream.aclose()
         await w.until(lambda: not w.service.listener.clients)
@@ -685,7 +718,9 @@
 @pytest.mark.parametrize("read", [True, False])
 @timed_story
 async def test_half_a_request_holds_up_no_drain_beyond_its_grace(read):
-    async with world(Peer("d1", done), settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}) as w:
+    async with world(
+        Peer("d1", done), settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}
+    ) as w:
         client = await w.client()
         await w.until(lambda: w.service.listener.clients)
         began = trio.current_time()
@@ -738,10 +773,17 @@
         await exchange.done()
 
     go_on, peer = trio.Event(), Peer("d1", waits)
-    previous = {number: signal.signal(number, lambda *_: None) for number in (signal.SIGTERM, signal.SIGHUP)}
+    previous = {
+        number: signal.signal(number, lambda *_: None) for number in (signal.SIGTERM, signal.SIGHUP)
+    }
     try:
-        async with world(peer, front=front, settings=ROOMY, signals=True,
-                         timing={"linger_ms": 50, "grace_ms": 4000}) as w:
+        async with world(
+            peer,
+            front=front,
+            settings=ROOMY,
+            signals=True,
+            timing={"linger_ms": 50, "grace_ms": 4000},
+        ) as w:
             client = await w.client()
             await client.send(**LONG)
             await w.until(lambda: peer.exchanges)
@@ -766,14 +808,20 @@
 @story
 async def test_a_signal_that_comes_again_as_everything_is_closed_kills_nobody():
     stray = []
-    previous = {number: signal.signal(number, lambda number, _: stray.append(number))
-                for number in (signal.SIGTERM, signal.SIGINT)}
+    previous = {
+        number: signal.signal(number, lambda number, _: stray.append(number))
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
     try:
-        async with world(Peer("d1", done), signals=True, timing={"linger_ms": 20, "grace_ms": 1000}) as w:
+        async with world(
+            Peer("d1", done), signals=True, timing={"linger_ms": 20, "grace_ms": 1000}
+        ) as w:
             real = w.service.destinations.close
 
             def closes():
-                os.kill(os.getpid(), signal.SIGTERM)  # the listener is done, the rest is about to be closed
+                os.kill(
+                    os.getpid(), signal.SIGTERM
+                )  # the listener is done, the rest is about to be closed
                 os.kill(os.getpid(), signal.SIGINT)
                 real()
 
@@ -815,13 +863,17 @@
     peer = Peer("d1", done)
     async with world(peer, front=front, settings=ROOMY) as w:
         assert (await w.ask(X_Request_ID="r0", **LONG)).status == 200
-        await w.until(lambda: w.service.destinations._idle.get("d1"))  # an attempt there needs no wait
+        await w.until(
+            lambda: w.service.destinations._idle.get("d1")
+        )  # an attempt there needs no wait
         gone = [socket.create_connection(w.service.listener.address) for _ in range(50)]
         for i, sock in enumerate(gone):
             sock.sendall(raw_request(f"left{i}") * raw)
             sock.close()  # all this before the service has accepted one of them
         seen = []
-        await w.until(lambda: seen.append(len(w.service.listener.clients)) or (max(seen) and not seen[-1]))
+        await w.until(
+            lambda: seen.append(len(w.service.listener.clients)) or (max(seen) and not seen[-1])
+        )
         assert (await w.ask(X_Request_ID="r2", **LONG)).status == 200
         assert left_ones(peer) == []
 
@@ -843,10 +895,14 @@
         await client.stream.aclose()
 
 
-@pytest.mark.parametrize("given", ["nan", "inf", "1e3", "0x10", "+5", "1_000", "86400001", "00", ""])
+@pytest.mark.parametrize(
+    "given", ["nan", "inf", "1e3", "0x10", "+5", "1_000", "86400001", "00", ""]
+)
 @FRONTS
 @story
-async def test_a_deadline_that_is_no_number_of_milliseconds_is_refused_before_the_core(front, given):
+async def test_a_deadline_that_is_no_number_of_milliseconds_is_refused_before_the_core(
+    front, given
+):
     peer = Peer("d1", done)
     async with world(peer, front=front, settings=ROOMY) as w:
         assert (await w.ask(X_Timeout_Ms=given)).status == 400
@@ -856,7 +912,9 @@
 @pytest.mark.parametrize("framing", ["chunked", "in one piece"])
 @FRONTS
 @story
-async def test_a_body_over_64_kib_is_refused_however_it_comes_and_its_client_reads_why(front, framing):
+async def test_a_body_over_64_kib_is_refused_however_it_comes_and_its_client_reads_why(
+    front, framing
+):
     head = raw_request("r1").partition(b"Content-Length")[0]
     if framing == "chunked":
         raw = head + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 5
@@ -915,11 +973,14 @@
     await exchange.closed()
 
 
-@pytest.mark.parametrize("breaks_off", [half_a_head, half_a_line, an_end_without_a_word, half_a_chunk])
+@pytest.mark.parametrize(
+    "breaks_off", [half_a_head, half_a_line, an_end_without_a_word, half_a_chunk]
+)
 @FRONTS
 @story
 async def test_an_answer_that_breaks_off_may_have_run_and_is_repeated_only_as_its_class_allows(
-        front, breaks_off):
+    front, breaks_off
+):
     async def script(exchange):
         await (breaks_off if len(everything()) == 1 else done)(exchange)
 
@@ -932,8 +993,10 @@
             reply = await w.ask(target, **LONG)
             assert len(everything()) == attempts
             if front == "progress":
-                assert (b"event: served" in reply.body, b"event: failed" in reply.body) == \
-                    (attempts == 2, attempts == 1)
+                assert (b"event: served" in reply.body, b"event: failed" in reply.body) == (
+                    attempts == 2,
+                    attempts == 1,
+                )
             else:
                 assert reply.status == (200 if attempts == 2 else 502)
             await w.until(lambda: w.service.destinations.open <= 1)  # what broke off is not kept
@@ -972,7 +1035,11 @@
     async with world(peer, front=front, settings=ROOMY) as w:
         for i in range(4):
             reply = await w.ask("/once", X_Request_ID=f"r{i}", **LONG)
-            assert reply.status == 200 and reply.body.count(b"profile") == 1 and b"another" not in reply.body
+            assert (
+                reply.status == 200
+                and reply.body.count(b"profile") == 1
+                and b"another" not in reply.body
+            )
         assert [e.id for e in peer.exchanges] == ["r0", "r1", "r2", "r3"]
 
 
@@ -998,15 +1065,19 @@
         await client.send("/once", **LONG)
         reply = await client.reply()
         if front == "progress":
-            assert (reply.body.count(b"event: served"), reply.body.count(b"event: failed")) == \
-                (served, not served)
+            assert (reply.body.count(b"event: served"), reply.body.count(b"event: failed")) == (
+                served,
+                not served,
+            )
         else:
             assert reply.status == (200 if served else 502)
         await w.until(lambda: not decisions.pending and not decisions._live and not w.service._open)
 
 
 @timed_story
-async def test_a_connection_that_does_not_come_up_in_time_never_ran_so_any_class_goes_elsewhere(monkeypatch):
+async def test_a_connection_that_does_not_come_up_in_time_never_ran_so_any_class_goes_elsewhere(
+    monkeypatch,
+):
     peers = [Peer("d1", done), Peer("d2", done)]
     async with world(*peers, settings=ROOMY) as w:
         real, tried = Connection.open, []
@@ -1024,7 +1095,9 @@
 
 
 @story
-async def test_a_worker_that_closes_between_the_look_and_the_write_costs_no_repeatable_job(monkeypatch):
+async def test_a_worker_that_closes_between_the_look_and_the_write_costs_no_repeatable_job(
+    monkeypatch,
+):
     peer, other = Peer("d1", done), Peer("d2", done)
     async with world(peer, other, settings=ROOMY) as w:
         gate = Gate(w, monkeypatch)
@@ -1096,10 +1169,14 @@
             exchange.reset()
 
     peers = [Peer("d1", dies_late), Peer("d2", dies_late)]  # of one cell, so the group allows it
-    roomy = {"request_classes": [{**c, "aim": 16000.0} for c in ROOMY["request_classes"]]}  # time for either
+    roomy = {
+        "request_classes": [{**c, "aim": 16000.0} for c in ROOMY["request_classes"]]
+    }  # time for either
     async with world(*peers, settings=roomy) as w:
         reply = await w.ask("/save", Idempotency_Key="k1", **LONG)
-        assert reply.status == (200 if again else 502)  # not a refusal: that would say that it never ran
+        assert reply.status == (
+            200 if again else 502
+        )  # not a refusal: that would say that it never ran
         assert sent_for(peers) == (2 if again else 1)
 
 
@@ -1114,7 +1191,11 @@
         await nursery.start(peer.serve)
         discovery = Discovery([peer])
         config = tmp_path / "config.json"
-        raw = {"listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS}
+        raw = {
+            "listen": "127.0.0.1:0",
+            "discovery": await discovery.serve(nursery),
+            "settings": SETTINGS,
+        }
         if known:
             raw["known"] = {"version": 1, "full": True, "servers": [peer.entry()]}
         config.write_text(ujson.dumps(raw))
@@ -1157,7 +1238,9 @@
                             elif isinstance(event, h11.Request):
                                 request = event
                         else:
-                            exchange = Exchange(stream, request, b"", len(self.exchanges), self.front)
+                            exchange = Exchange(
+                                stream, request, b"", len(self.exchanges), self.front
+                            )
                             self.exchanges.append(exchange)
                             nursery.start_soon(answers_twice, exchange)
                             parser = h11.Connection(h11.SERVER)
@@ -1166,7 +1249,9 @@
                 nursery.cancel_scope.cancel()
 
     peer = Doubled("d1", done)
-    told = {"specifics": {"tells_start": True, "progress": 0.0}}  # so that the next attempt follows soon
+    told = {
+        "specifics": {"tells_start": True, "progress": 0.0}
+    }  # so that the next attempt follows soon
     async with world(peer, settings=told) as w:
         assert (await w.ask("/once")).status == 200
         assert sent_for([peer]) == 2  # one turned away, and one that ran
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -91,7 +91,9 @@
     assert asleep.phi(came + span + more) == pytest.approx(awake.phi(came + more), abs=1e-3)
     asleep.note(came + span + BEAT)
     awake.note(came + BEAT)
-    assert asleep.phi(came + span + BEAT + more) == pytest.approx(awake.phi(came + BEAT + more), abs=1e-3)
+    assert asleep.phi(came + span + BEAT + more) == pytest.approx(
+        awake.phi(came + BEAT + more), abs=1e-3
+    )
 
 
 def beaten(here=True, there=True, span=20.0, loss=0.0, seed=2):
@@ -107,8 +109,10 @@
     return link, span
 
 
-@pytest.mark.parametrize("here, there, state", [
-    (True, True, WELL), (False, True, CUT), (True, False, MUTE), (False, False, CUT)])
+@pytest.mark.parametrize(
+    "here, there, state",
+    [(True, True, WELL), (False, True, CUT), (True, False, MUTE), (False, False, CUT)],
+)
 def test_a_link_says_which_of_its_directions_works(here, there, state):
     for loss in (0.0, 0.3):
         link, now = beaten(here, there, loss=loss)
@@ -212,7 +216,9 @@
     net.run(120.0)
     assert not net.false_deaths
     net.kill("m0003")
-    assert net.until(net.agreed, 60.0) is not None and not net.false_deaths  # and the dead are still found
+    assert (
+        net.until(net.agreed, 60.0) is not None and not net.false_deaths
+    )  # and the dead are still found
 
 
 def test_short_pauses_of_a_third_take_nobody_off():
@@ -241,7 +247,10 @@
     for name in ("m0000", "m0001"):
         net.kill(name)
     net.run(60.0)
-    assert len(net.nodes["m0002"].machine.members()) == 3 and net.nodes["m0002"].machine.health.doubt > 0
+    assert (
+        len(net.nodes["m0002"].machine.members()) == 3
+        and net.nodes["m0002"].machine.health.doubt > 0
+    )
 
 
 def test_a_death_without_loss_is_off_all_lists_in_three_seconds():
@@ -267,7 +276,9 @@
     net = joined(8)
     machine = net.nodes["m0002"].machine
     before = machine.counts.late
-    machine.receive(net.now + 40.0, Message("news"), "m0003", net.nodes["m0003"].address)  # before any tick
+    machine.receive(
+        net.now + 40.0, Message("news"), "m0003", net.nodes["m0003"].address
+    )  # before any tick
     assert machine.counts.late == before + 1 and not machine.alone
     machine.tick(net.now + 40.1)
     assert machine.counts.late == before + 1 and machine.due <= net.now + 41.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,9 @@
 @pytest.mark.parametrize("entries", [0, 1, 5000])
 @pytest.mark.parametrize("index", [-1, 0, 39, 400])
 def test_no_dispatcher_has_a_share_of_nothing_and_a_list_may_shrink_to_none(entries, index):
-    d = Dispatcher(Settings(classes=[api.JobClass("c", 500.0, 5000.0)], dispatchers=40, index=index), 7)
+    d = Dispatcher(
+        Settings(classes=[api.JobClass("c", 500.0, 5000.0)], dispatchers=40, index=index), 7
+    )
     whole = [api.WorkerEntry(f"w{i % 4999}") for i in range(entries)]  # one of 5,000 is there twice
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, whole)])
     out = d.handle(1.0, [api.JobArrived("a", 0, 5001.0)])
@@ -40,7 +42,9 @@
     firsts = set()
     for seed in range(40):
         d = Dispatcher(Settings(classes=[api.JobClass("c", 500.0, 5000.0)], dispatchers=40), seed)
-        d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i:02d}") for i in range(60)])])
+        d.handle(
+            0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i:02d}") for i in range(60)])]
+        )
         firsts.add(d.fleet.mine[-1][0].name)
     assert len(firsts) > 20
 
@@ -60,8 +64,9 @@
     return found
 
 
-@pytest.mark.parametrize("dispatchers,workers", [
-    (1, 10), (2, 14), (3, 20), (7, 7), (40, 60), (40, 10), (60, 1)])
+@pytest.mark.parametrize(
+    "dispatchers,workers", [(1, 10), (2, 14), (3, 20), (7, 7), (40, 60), (40, 10), (60, 1)]
+)
 def test_windows_cover_every_worker_evenly_and_their_parts_of_it_make_one(dispatchers, workers):
     rng = random.Random(dispatchers * workers)
     names = [f"s-{rng.getrandbits(32):08x}" for _ in range(workers)]
@@ -105,7 +110,9 @@
     warm = [0.31 + 0.69 * k / 62 for k in range(62)]
     for host in new:
         for start in range(0, 5000, 500):  # the rule: 3 times what it can do, in any 3 s
-            sent = sum(work for at, work in host.cold_work if 0 <= at - host.launched - start < 3000)
+            sent = sum(
+                work for at, work in host.cold_work if 0 <= at - host.launched - start < 3000
+            )
             assert sent <= 3.0 * 3000 * 5 * warm[start // 100] + 4 * 5000, host.name
     took = sum(work for host in new for at, work in host.cold_work if at - host.launched < 6200)
     assert took >= 0.35 * 20 * 5 * 6200 * 0.65, "the part of what cold ones can do that was used"
@@ -127,10 +134,12 @@
 async def test_a_call_turned_away_leaves_the_list_and_is_followed_by_one_for_changes():
     peer = Peer("a", done)
     async with world(peer) as w:
+
         async def busy(exchange):
             w.discovery.calls.append((0.0, exchange.target))
             await exchange.stream.send_all(
-                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            )
 
         usual, w.discovery.peer.script = w.discovery.peer.script, busy
         before = len(w.discovery.calls)
--- a/tests/test_log_states.py
+++ b/tests/test_log_states.py
@@ -32,7 +32,11 @@
 
 
 def ledgers(net):
-    return {name: m.node.machines["ledger"].taken for name, m in net.members.items() if name in net.voters}
+    return {
+        name: m.node.machines["ledger"].taken
+        for name, m in net.members.items()
+        if name in net.voters
+    }
 
 
 def submit(net, who, data):
@@ -107,8 +111,11 @@
 
 def test_a_voter_that_lacks_a_machine_stops_and_skips_nothing():
     net = net_of(3)
-    without = next(m.node for n, m in net.members.items() if n in net.voters
-                   and m.node.driver.raft.role != LEADER)
+    without = next(
+        m.node
+        for n, m in net.members.items()
+        if n in net.voters and m.node.driver.raft.role != LEADER
+    )
     without.machines.clear()
     assert answered(net, "m5", submit(net, "m5", b"x")) == b"0"
     net.run(3.0)
@@ -141,8 +148,14 @@
     assert restore_all(whole, {}) == (duties, "ledger")
 
 
-@pytest.mark.parametrize("what", [Submit("calendar", 7, b"x" * 999), Submitted(7, True, False),
-                                  Submitted(8, True, True, b"y" * 5000),
-                                  Submitted(9, False, False, b"", "m1")])
+@pytest.mark.parametrize(
+    "what",
+    [
+        Submit("calendar", 7, b"x" * 999),
+        Submitted(7, True, False),
+        Submitted(8, True, True, b"y" * 5000),
+        Submitted(9, False, False, b"", "m1"),
+    ],
+)
 def test_what_is_submitted_comes_out_as_it_went_in(what):
     assert unpack(pack(what)) == what
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -25,17 +25,42 @@
     return made
 
 
-@pytest.mark.parametrize("text, args, event, keys, rest", [
-    ("ready name=%s listen=%s:%d destinations=%d", ("n 1", "1.2.3.4", 5, 7), "ready",
-     {"name": "n 1", "listen": "1.2.3.4:5", "destinations": 7}, ""),
-    ("drained", (), "drained", {}, ""),
-    ("can't-start: %s", ("in use",), "can't-start", {}, "in use"),
-    ("discovery-lost version=%d: %s %s", (3, "A", "x y"), "discovery-lost", {"version": 3}, "A x y"),
-    ("state-failed %s: goes on without", ("disk full",), "state-failed", {}, "disk full: goes on without"),
-    ("no-decision operation=%s: answered without the module", ("a=b",), "no-decision", {"operation": "a=b"},
-     "answered without the module"),
-    ("a bare 100% line", (), "a bare 100% line", {}, ""),
-])
+@pytest.mark.parametrize(
+    "text, args, event, keys, rest",
+    [
+        (
+            "ready name=%s listen=%s:%d destinations=%d",
+            ("n 1", "1.2.3.4", 5, 7),
+            "ready",
+            {"name": "n 1", "listen": "1.2.3.4:5", "destinations": 7},
+            "",
+        ),
+        ("drained", (), "drained", {}, ""),
+        ("can't-start: %s", ("in use",), "can't-start", {}, "in use"),
+        (
+            "discovery-lost version=%d: %s %s",
+            (3, "A", "x y"),
+            "discovery-lost",
+            {"version": 3},
+            "A x y",
+        ),
+        (
+            "state-failed %s: goes on without",
+            ("disk full",),
+            "state-failed",
+            {},
+            "disk full: goes on without",
+        ),
+        (
+            "no-decision operation=%s: answered without the module",
+            ("a=b",),
+            "no-decision",
+            {"operation": "a=b"},
+            "answered without the module",
+        ),
+        ("a bare 100% line", (), "a bare 100% line", {}, ""),
+    ],
+)
 def test_event_and_keys_come_from_the_template(text, args, event, keys, rest):
     if "100%" in text:
         assert event_of(record(text, *args))[0] in ("a", text)
@@ -49,16 +74,34 @@
     sources = [source.read_text() for source in (ROOT / "yewrill").rglob("*.py")]
     found = {event for source in sources for event in pattern.findall(source)}
     assert len(found) > 40
-    assert not {event for event in found if event not in pages and event not in ("lameduck-", "module")}
+    assert not {
+        event for event in found if event not in pages and event not in ("lameduck-", "module")
+    }
 
 
 def test_json_lines_have_event_level_keys_and_what_they_belong_to():
-    line = ujson.loads(formatter("json").format(
-        record("garbled destination=%s: %s", "d1", "no line", operation="r1", trace="ab", thinned=3)))
+    line = ujson.loads(
+        formatter("json").format(
+            record(
+                "garbled destination=%s: %s", "d1", "no line", operation="r1", trace="ab", thinned=3
+            )
+        )
+    )
     assert line["event"] == "garbled" and line["destination"] == "d1" and line["text"] == "no line"
-    assert (line["operation"], line["trace"], line["thinned"], line["level"]) == ("r1", "ab", 3, "info")
-    assert "garbled" in formatter("console").format(record("garbled destination=%s: %s", "d1", "no line"))
-    assert formatter("plain").format(record("drained", trace="ab")).endswith("INFO yewrill drained trace=ab")
+    assert (line["operation"], line["trace"], line["thinned"], line["level"]) == (
+        "r1",
+        "ab",
+        3,
+        "info",
+    )
+    assert "garbled" in formatter("console").format(
+        record("garbled destination=%s: %s", "d1", "no line")
+    )
+    assert (
+        formatter("plain")
+        .format(record("drained", trace="ab"))
+        .endswith("INFO yewrill drained trace=ab")
+    )
     try:
         raise ValueError("why")
     except ValueError:
@@ -110,20 +153,35 @@
 
     out = io.StringIO()
     with logging_to(out, "INFO", "json"):
-        async with world(Peer("d1", garbled), tracing={"file": str(tmp_path / "t"), "share": 0.0}) as w:
+        async with world(
+            Peer("d1", garbled), tracing={"file": str(tmp_path / "t"), "share": 0.0}
+        ) as w:
             assert (await w.ask("/once", X_Request_ID="r1")).status == 502
-            await w.until(lambda: (tmp_path / "t").exists() and (tmp_path / "t").read_text().endswith("\n"))
+            await w.until(
+                lambda: (tmp_path / "t").exists() and (tmp_path / "t").read_text().endswith("\n")
+            )
     lines = [ujson.loads(line) for line in out.getvalue().splitlines()]
-    line, = (line for line in lines if line["event"] == "garbled")
-    kept, = (ujson.loads(text) for text in (tmp_path / "t").read_text().splitlines())
+    (line,) = (line for line in lines if line["event"] == "garbled")
+    (kept,) = (ujson.loads(text) for text in (tmp_path / "t").read_text().splitlines())
     assert (line["operation"], line["trace"]) == ("r1", kept["trace"])
 
 
 def test_the_program_speaks_json_and_names_a_form_it_does_not_know(tmp_path):
     config = tmp_path / "c.json"
-    config.write_text(ujson.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "settings": SETTINGS,
-                                   "mgmt": "203.0.113.1:1"}))
+    config.write_text(
+        ujson.dumps(
+            {
+                "listen": "127.0.0.1:1",
+                "discovery": "127.0.0.1:9",
+                "settings": SETTINGS,
+                "mgmt": "203.0.113.1:1",
+            }
+        )
+    )
     command = [sys.executable, "-m", "yewrill", "serve", "--config", str(config), "--log-format"]
     ended = subprocess.run([*command, "json"], capture_output=True, text=True)
-    assert ended.returncode == 1 and ujson.loads(ended.stderr.splitlines()[-1])["event"] == "can't-start"
+    assert (
+        ended.returncode == 1
+        and ujson.loads(ended.stderr.splitlines()[-1])["event"] == "can't-start"
+    )
     assert subprocess.run([*command, "yaml"], capture_output=True, text=True).returncode == 2
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -171,7 +171,10 @@
         short = api.JobClass("short", 500.0, 9000.0, worth=2.0)
         classes = [short, api.JobClass("long", 500.0, 9000.0, worth=3.0)]
         d = Dispatcher(Settings(classes=classes, worth_by_work=by_work), 1)
-        d.admission.classes[0].mean, d.admission.classes[1].mean = 100.0, 1000.0  # 2 / 100 against 3 / 1000
+        d.admission.classes[0].mean, d.admission.classes[1].mean = (
+            100.0,
+            1000.0,
+        )  # 2 / 100 against 3 / 1000
         d.handle(0.0, [])
         assert max(d.admission.classes, key=lambda c: c.rung).spec.name == higher
 
@@ -248,7 +251,9 @@
 
 
 @pytest.mark.parametrize("dispatchers, part", [(1, 0.10125), (8, 0.11), (200, 0.35), (1000, 0.35)])
-def test_the_class_shed_first_keeps_the_more_of_its_rate_the_more_dispatchers_shed(dispatchers, part):
+def test_the_class_shed_first_keeps_the_more_of_its_rate_the_more_dispatchers_shed(
+    dispatchers, part
+):
     # Found on full-size days: with a tenth the class worth least fell under half of what a late-seeing policy
     # serves of it, and the standing test failed by that. With few, a third cost an overloaded day a fifth.
     d = dispatcher(tenants=[api.Tenant("a", 1e6)], dispatchers=dispatchers)
@@ -267,7 +272,9 @@
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
     w = d.fleet.workers["w"]
     w.kind.slots, w.kind.free, w.cap, w.free, w.free_at = 1.0, 2.0, 8.0, 2.0, 1.0
-    d.fleet.residual = 2000.0  # two slots short: a wait of 2.5 times that, beyond any time constraint
+    d.fleet.residual = (
+        2000.0  # two slots short: a wait of 2.5 times that, beyond any time constraint
+    )
     out = d.handle(1.0, [api.JobArrived("j", 0, 9001.0, **need)])
     assert not [a for a in out if isinstance(a, api.Send)] and d.jobs["j"].held
     w.kind.free, w.free, w.free_at = 4.0, 4.0, 2.0
@@ -297,27 +304,45 @@
 
 @pytest.mark.parametrize("fields, learned", [((), True), (("x0",), False)])
 def test_slots_are_learned_from_start_notices_only_while_nothing_reports_load(fields, learned):
-    settings = Settings(classes=[api.JobClass("c", 1000.0, 5000.0)], tells_start=True, report_fields=fields,
-                        free_slots_field="x0", max_attempts=3)
+    settings = Settings(
+        classes=[api.JobClass("c", 1000.0, 5000.0)],
+        tells_start=True,
+        report_fields=fields,
+        free_slots_field="x0",
+        max_attempts=3,
+    )
     d = Dispatcher(settings, 1)
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w")])])
     now = 1.0
     for i in range(400):
         actions = d.handle(now, [api.JobArrived(f"j{i}", 0, now + 5000.0)])
         for send in [a for a in actions if isinstance(a, api.Send)]:
-            d.handle(now + 1.0, [api.AttemptStarted(send.job, 0, "w")])  # the worker always has a slot
+            d.handle(
+                now + 1.0, [api.AttemptStarted(send.job, 0, "w")]
+            )  # the worker always has a slot
         now += 10.0
         for done in [a for a in d.attempts.out.values() if now - a.sent > 60.0]:
             report = {"x0": -1.0 - i % 7} if fields else None
-            d.handle(now, [api.AttemptEnded(done.job.id, done.number, "w", api.SERVED, 60.0, True, report)])
+            d.handle(
+                now,
+                [api.AttemptEnded(done.job.id, done.number, "w", api.SERVED, 60.0, True, report)],
+            )
     worker = d.fleet.workers["w"]
     assert (worker.kind.slots > 5.9) is learned and worker.running == len(d.attempts.out)
 
 
 def in_trouble(aim=1000.0, **more):
     """A dispatcher before two workers that tell of starts."""
-    d = Dispatcher(Settings(classes=[api.JobClass("c", aim, 9000.0)], tells_start=True, max_attempts=4,
-                            may_cancel=True, **more), 1)
+    d = Dispatcher(
+        Settings(
+            classes=[api.JobClass("c", aim, 9000.0)],
+            tells_start=True,
+            max_attempts=4,
+            may_cancel=True,
+            **more,
+        ),
+        1,
+    )
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w1"), api.WorkerEntry("w2")])])
     return d
 
@@ -336,20 +361,32 @@
     w = d.fleet.workers["w1"]
     for now, worn, blocked in ((1.0, False, False), (10.0, False, True), (5000.0, True, False)):
         send(d, f"j{now}", now, "w1")
-        d.handle(now + 1.0, [api.AttemptEnded(f"j{now}", 0, "w1", api.CONNECTION_LOST, 1.0, True, worn=worn)])
+        d.handle(
+            now + 1.0,
+            [api.AttemptEnded(f"j{now}", 0, "w1", api.CONNECTION_LOST, 1.0, True, worn=worn)],
+        )
         assert (w.blocked > now + 1.0) is blocked
     # A sign of life between two losses: it stays in.
     w.fails = 0
     for now in (6000.0, 6100.0):
         send(d, f"k{now}", now, "w1")
         send(d, f"l{now}", now, "w1")
-        d.handle(now + 1.0, [api.AttemptStarted(f"l{now}", 0, "w1"),
-                             api.AttemptEnded(f"k{now}", 0, "w1", api.CONNECTION_LOST, 1.0, True)])
+        d.handle(
+            now + 1.0,
+            [
+                api.AttemptStarted(f"l{now}", 0, "w1"),
+                api.AttemptEnded(f"k{now}", 0, "w1", api.CONNECTION_LOST, 1.0, True),
+            ],
+        )
         assert w.blocked <= now + 1.0
 
 
-@pytest.mark.parametrize("fifo, gap, lost", [(True, 40.0, True), (True, 5.0, False), (False, 40.0, False)])
-def test_an_attempt_that_a_later_one_overtook_in_a_fifo_queue_is_given_up_and_sent_elsewhere(fifo, gap, lost):
+@pytest.mark.parametrize(
+    "fifo, gap, lost", [(True, 40.0, True), (True, 5.0, False), (False, 40.0, False)]
+)
+def test_an_attempt_that_a_later_one_overtook_in_a_fifo_queue_is_given_up_and_sent_elsewhere(
+    fifo, gap, lost
+):
     d = in_trouble(fifo=fifo)
     send(d, "silent", 1.0, "w1")
     send(d, "later", 1.0 + gap, "w1")
@@ -373,7 +410,9 @@
 
 def test_without_load_reports_only_the_left_out_are_probed_and_an_answer_lets_them_back_in():
     d = in_trouble(may_probe=True)
-    assert not [a for a in d.handle(1.0, [api.JobArrived("j", 0, 9001.0)]) if isinstance(a, api.Probe)]
+    assert not [
+        a for a in d.handle(1.0, [api.JobArrived("j", 0, 9001.0)]) if isinstance(a, api.Probe)
+    ]
     d.fleet.workers["w1"].fails, d.fleet.workers["w1"].blocked = 3, 8000.0
     probes = []
     for i in range(30):
@@ -407,8 +446,9 @@
     assert (w.cap == 3.0) is capped
 
 
-@pytest.mark.parametrize("marked, retry, refused", [(True, False, False), (True, True, True),
-                                                    (False, False, True)])
+@pytest.mark.parametrize(
+    "marked, retry, refused", [(True, False, False), (True, True, True), (False, False, True)]
+)
 def test_an_impatient_first_try_is_no_late_retry_where_retries_are_marked(marked, retry, refused):
     d = in_trouble(marks_retry=marked)
     d.handle(1.0, [api.JobArrived("patient", 0, 9001.0)])
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -21,8 +21,16 @@
 HERE, THERE = ("127.0.0.1", 1), ("127.0.0.1", 2)
 KEYS = [b"k" * 32, b"l" * 32]
 TEXT = st.text(max_size=64)
-CLAIM = st.builds(Claim, TEXT.filter(bool), st.tuples(TEXT.filter(bool), st.integers(0, 65535)), TEXT, TEXT,
-                  st.integers(0, 2**48), st.integers(ALIVE, LEFT), TEXT)
+CLAIM = st.builds(
+    Claim,
+    TEXT.filter(bool),
+    st.tuples(TEXT.filter(bool), st.integers(0, 65535)),
+    TEXT,
+    TEXT,
+    st.integers(0, 2**48),
+    st.integers(ALIVE, LEFT),
+    TEXT,
+)
 
 
 def pair(keys=KEYS[:1], other=KEYS[:1]):
@@ -38,15 +46,19 @@
 # ------------------------------------------------------------------------------------------------- the format
 
 
-@given(st.sampled_from(["ping", "ack", "nack", "help", "list", "news"]), st.integers(0, 2**63), TEXT,
-       st.lists(CLAIM, max_size=12))
+@given(
+    st.sampled_from(["ping", "ack", "nack", "help", "list", "news"]),
+    st.integers(0, 2**63),
+    TEXT,
+    st.lists(CLAIM, max_size=12),
+)
 def test_a_message_comes_out_as_it_went_in_but_for_news_beyond_the_size(kind, number, about, news):
     a, b = pair()
     data = a.encode(Message(kind, number, about, tuple(news)), THERE)
     sender, message = b.decode(data, HERE)
     assert len(data) <= MOST and sender == "a"
     assert (message.kind, message.number, message.about) == (kind, number, about)
-    assert message.news == tuple(news[:len(message.news)])
+    assert message.news == tuple(news[: len(message.news)])
 
 
 @given(st.data())
@@ -63,14 +75,18 @@
 def test_a_datagram_is_taken_once_and_only_by_the_run_that_it_was_made_for():
     a, b = pair()
     first, second = (a.encode(Message("ping", n), THERE) for n in (1, 2))
-    assert b.decode(second, HERE)[1].number == 2 and b.decode(first, HERE)[1].number == 1  # out of order
+    assert (
+        b.decode(second, HERE)[1].number == 2 and b.decode(first, HERE)[1].number == 1
+    )  # out of order
     for again in (first, second):
         with pytest.raises(Refused, match="replay"):
             b.decode(again, HERE)
     old = a.encode(Message("ping", 3), THERE)
     for _ in range(70):
         b.decode(a.encode(Message("ping"), THERE), HERE)
-    with pytest.raises(Refused, match="replay"):  # older than the window: it can't be told from a replay
+    with pytest.raises(
+        Refused, match="replay"
+    ):  # older than the window: it can't be told from a replay
         b.decode(old, HERE)
     with pytest.raises(Stranger):  # b has been started anew since
         Codec("b", 23, KEYS[:1]).decode(a.encode(Message("ping"), THERE), HERE)
@@ -95,7 +111,9 @@
     peers = [("127.0.0.1", port) for port in range(100, 110)]
     intake.know(peers)
     looked = taken = 0
-    for i in range(100_000):  # one second of forged ones, beside peers that say what they usually do
+    for i in range(
+        100_000
+    ):  # one second of forged ones, beside peers that say what they usually do
         now = i / 100_000
         looked += intake.admits(now, ("127.0.0.1", 20_000 + i % 40_000), 400)
         if i % 10_000 == 0:
@@ -114,7 +132,10 @@
 
 def test_the_same_seed_gives_the_same_run():
     runs = [joined(3).run(10.0) for _ in range(2)]
-    assert len({tuple((n.name, n.sent, n.machine.due) for n in net.nodes.values()) for net in runs}) == 1
+    assert (
+        len({tuple((n.name, n.sent, n.machine.due) for n in net.nodes.values()) for net in runs})
+        == 1
+    )
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -126,14 +147,18 @@
     assert net.until(net.agreed, 20.0) is not None
     net.leave("m0004")
     assert net.until(net.agreed, 12.0) is not None and not net.false_deaths
-    assert any(n.machine.listed["m0004"].claim.state == LEFT for n in net.living())  # whom it told itself
+    assert any(
+        n.machine.listed["m0004"].claim.state == LEFT for n in net.living()
+    )  # whom it told itself
 
 
 def test_loss_doubles_and_late_ones_take_nobody_off_for_long():
     net = joined(5)
     net.default = Path(delay=0.02, jitter=0.03, loss=0.2, twice=0.1)
     net.run(60.0)
-    assert len(net.false_deaths) <= 24  # one death believed by all at most, in 24 minutes of members
+    assert (
+        len(net.false_deaths) <= 24
+    )  # one death believed by all at most, in 24 minutes of members
     net.default = Path()
     assert net.until(net.agreed, 20.0) is not None
 
@@ -172,14 +197,18 @@
 
     def lie(node, message):
         names = [c for c in node.machine.members() if c.name != node.name]
-        accused = [replace(c, state=DEAD if i % 2 else SUSPECT, by=f"m{i % 24:04d}")
-                   for i, c in enumerate(net.rng.sample(names, 8))]
+        accused = [
+            replace(c, state=DEAD if i % 2 else SUSPECT, by=f"m{i % 24:04d}")
+            for i, c in enumerate(net.rng.sample(names, 8))
+        ]
         return replace(message, news=tuple(accused))
 
     net.nodes["m0001"].lie = lie
     net.run(60.0)
     assert not net.false_deaths
-    assert net.agreed(sorted(net.nodes)) or all(net.sees(a, b) for a in net.nodes for b in net.nodes)
+    assert net.agreed(sorted(net.nodes)) or all(
+        net.sees(a, b) for a in net.nodes for b in net.nodes
+    )
     # The accused answer with a higher incarnation; one so high that nobody could is no claim at all.
     assert net.nodes["m0002"].machine.counts.refuted + net.nodes["m0002"].machine.me.incarnation > 0
     machine = net.nodes["m0002"].machine
@@ -198,7 +227,9 @@
     assert max(node.sent - before[name] for name, node in net.nodes.items()) / 10.0 < 10_000
 
 
-@given(st.lists(st.sampled_from("abcdefgh"), max_size=12), st.floats(0.1, 10.0), st.floats(1.0, 5.0))
+@given(
+    st.lists(st.sampled_from("abcdefgh"), max_size=12), st.floats(0.1, 10.0), st.floats(1.0, 5.0)
+)
 @settings(max_examples=50)
 def test_a_doubt_shortens_with_each_that_shares_it_and_never_under_the_least(by, least, factor):
     doubt = Suspicion(0.0, least, least * factor, {"me"})
@@ -223,7 +254,9 @@
 
 
 def config(name, peers, **more):
-    return MembersConfig(("127.0.0.1", 0), tuple(peers), ("ab" * 16,), name, zone="z", interval=0.05, **more)
+    return MembersConfig(
+        ("127.0.0.1", 0), tuple(peers), ("ab" * 16,), name, zone="z", interval=0.05, **more
+    )
 
 
 @story
@@ -257,8 +290,16 @@
 
 @story
 async def test_the_service_has_its_members_at_the_door_and_none_without_the_key():
-    async with world(Peer("d1", done), mgmt="127.0.0.1:0", members={
-            "listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "keys": ["cd" * 16], "zone": "north"}) as w:
+    async with world(
+        Peer("d1", done),
+        mgmt="127.0.0.1:0",
+        members={
+            "listen": "127.0.0.1:0",
+            "peers": ["127.0.0.1:9"],
+            "keys": ["cd" * 16],
+            "zone": "north",
+        },
+    ) as w:
         await w.until(lambda: w.service.hooks[0].status()["members"])
         said = ujson.loads((await w.call("GET /_members")).body)
         assert [(m["name"], m["zone"]) for m in said["members"]] == [("yewrill", "north")]
@@ -268,15 +309,23 @@
         assert not w.service.hooks and (await w.call("GET /_members")).status == 404
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"keys": []}, "members.keys"), ({"keys": ["ab"]}, "members.keys[0]"),
-    ({"keys": ["xy" * 16]}, "members.keys[0]"),
-    ({"peers": []}, "members.peers"), ({"peers": ["here"]}, "members.peers[0]"), ({"odd": 1}, "members.odd"),
-    ({"listen": "0.0.0.0:7"}, "members.listen"), ({"bytes_per_s": 5}, "members.bytes_per_s"),
-    ({"name": ""}, "members.name"),
-])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"keys": []}, "members.keys"),
+        ({"keys": ["ab"]}, "members.keys[0]"),
+        ({"keys": ["xy" * 16]}, "members.keys[0]"),
+        ({"peers": []}, "members.peers"),
+        ({"peers": ["here"]}, "members.peers[0]"),
+        ({"odd": 1}, "members.odd"),
+        ({"listen": "0.0.0.0:7"}, "members.listen"),
+        ({"bytes_per_s": 5}, "members.bytes_per_s"),
+        ({"name": ""}, "members.name"),
+    ],
+)
 def test_a_faulty_key_of_the_membership_is_named(change, key):
     from test_config import GOOD
+
     members = {"listen": "127.0.0.1:7", "peers": ["127.0.0.1:9"], "keys": ["ab" * 16]}
     assert read_config({**GOOD, "members": members}).members.name == "yewrill"
     with pytest.raises(ConfigError, match=f"^{key}: ".replace("[", r"\[").replace("]", r"\]")):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -29,8 +29,12 @@
 async def test_the_door_says_ready_and_tells_every_wrong_call_what_is_wrong():
     async with world(Peer("d1", done), **MGMT) as w:
         assert (await w.call("GET /_ready")).status == 200
-        for call, status in (("GET /_nothing", 404), ("GET /tour", 404), ("GET /up", 404),
-                             ("PUT /_ready", 405)):
+        for call, status in (
+            ("GET /_nothing", 404),
+            ("GET /tour", 404),
+            ("GET /up", 404),
+            ("PUT /_ready", 405),
+        ):
             assert (await w.call(call)).status == status
         assert (await w.call("x", b"no call\r\n\r\n")).status == 400
         assert (await w.ask("/_ready", "GET")).status == 404  # clients have no way in
@@ -164,7 +168,9 @@
         assert (await (await w.shared.client()).ask(X_Request_ID="r7")).status == 409
         after = await w.shared.client()
         await after.send(X_Request_ID="r8")
-        await w.until(lambda: w.elder.handover.open_elsewhere("r8"))  # and the other way round, later
+        await w.until(
+            lambda: w.elder.handover.open_elsewhere("r8")
+        )  # and the other way round, later
         gate.set()
         assert (await before.reply()).status == (await after.reply()).status == 200
         await w.until(lambda: not heir.handover.open_elsewhere("r7"))
@@ -199,7 +205,9 @@
 @story
 async def test_two_runs_side_by_side_part_the_descriptors_and_none_is_left_without(monkeypatch):
     """However many the elder has in use: the parts fill the whole, and what it uses it keeps."""
-    monkeypatch.setattr(listener, "SETTLED", 0.0)  # each client is there for long, as on a slow machine
+    monkeypatch.setattr(
+        listener, "SETTLED", 0.0
+    )  # each client is there for long, as on a slow machine
     async with shared_world(Peer("d1", done), limits={"sockets": 384}) as w:
         elder, clients = w.service, []
         for used in (0, 30, 120, 200, 280, 384):
@@ -237,7 +245,9 @@
 
 @pytest.mark.parametrize("front", ["platform", "progress"])
 @story
-async def test_a_destination_taken_out_gets_nothing_whatever_discovery_says_until_it_is_put_back(front):
+async def test_a_destination_taken_out_gets_nothing_whatever_discovery_says_until_it_is_put_back(
+    front,
+):
     one, other = Peer("d1", done), Peer("d2", done)
     async with world(one, other, front=front, **MGMT) as w:
         ids = iter(range(1000))
@@ -248,9 +258,16 @@
 
         while not (one.exchanges and other.exchanges):
             await jobs(1)
-        for call, status in ((OUT + "nobody", 404), (BACK + "nobody", 404), (OUT[:-6], 400), (OUT, 400),
-                             (OUT + "d1&name=d1", 400), ("GET" + OUT[3:] + "d1", 405),
-                             (OUT + "d1", 200), (OUT + "%641", 200)):  # twice over is the same as once
+        for call, status in (
+            (OUT + "nobody", 404),
+            (BACK + "nobody", 404),
+            (OUT[:-6], 400),
+            (OUT, 400),
+            (OUT + "d1&name=d1", 400),
+            ("GET" + OUT[3:] + "d1", 405),
+            (OUT + "d1", 200),
+            (OUT + "%641", 200),
+        ):  # twice over is the same as once
             assert (await w.call(call)).status == status
         before = len(one.exchanges)
         await w.until(lambda: not one.live)  # its idle connections are closed
@@ -264,7 +281,9 @@
         await jobs(5)
         assert len(one.exchanges) == before
         assert (await w.call(BACK + "d1")).status == 200  # once is enough
-        with trio.fail_after(5):  # it gets work soon, though it counts as cold and the other one is idle
+        with trio.fail_after(
+            5
+        ):  # it gets work soon, though it counts as cold and the other one is idle
             while len(one.exchanges) == before:
                 await jobs(1)
         assert (await w.call(BACK + "d1")).status == 200
@@ -294,7 +313,9 @@
             assert (await w.call(OUT + name)).status == 200
         assert (await w.call(BACK + "d2")).status == 200
         elder, heir = w.elder, await start_heir(w)
-        assert heir.pool.out == ["d0", "d1"] and "d2" in heir.pool.back  # out, and back but still cold
+        assert (
+            heir.pool.out == ["d0", "d1"] and "d2" in heir.pool.back
+        )  # out, and back but still cold
         w.service = elder
         assert (await w.call(OUT + "d3")).status == 200 and "d3" in heir.pool.out
         w.service = heir
@@ -310,8 +331,15 @@
 
 
 def test_a_worker_put_back_is_cold_unblocked_and_first_in_line_until_it_shows_life():
-    settings = api.Settings([api.JobClass("tour", 2000.0, 9000.0)], tells_start=True, warm_after=6000.0,
-                            start_capacity=0.3, cold_multiple=3.0, cold_window=3000.0, max_attempts=3)
+    settings = api.Settings(
+        [api.JobClass("tour", 2000.0, 9000.0)],
+        tells_start=True,
+        warm_after=6000.0,
+        start_capacity=0.3,
+        cold_multiple=3.0,
+        cold_window=3000.0,
+        max_attempts=3,
+    )
     module, sends = Dispatcher(settings, 1), []
 
     def moment(now, *events):
@@ -418,10 +446,19 @@
     one = Peer("d1", script)
     async with world(one, front=front, **MGMT) as w:
         at = await figures(w)
-        assert at == {**{f"{status}.{c}": 0 for status in ("success", "overload", "error")
-                         for c in ("tour", "save", "once")},
-                      "dispatches": 0, "reload_success": 0, "reload_failure": 0, "concurrent": 0,
-                      "targets": 1, "targets_disabled": 0}
+        assert at == {
+            **{
+                f"{status}.{c}": 0
+                for status in ("success", "overload", "error")
+                for c in ("tour", "save", "once")
+            },
+            "dispatches": 0,
+            "reload_success": 0,
+            "reload_failure": 0,
+            "concurrent": 0,
+            "targets": 1,
+            "targets_disabled": 0,
+        }
         for i in range(3):
             await w.ask("/tour", X_Request_ID=f"r{i}")
         await w.ask("/once", X_Request_ID="fails")
@@ -490,8 +527,11 @@
 def retune(w, limits=None, **changes) -> None:
     """Write other settings and reload."""
     settings = w.raw["settings"]
-    w.raw["settings"] = {**settings, "request_classes": classes(w, **changes),
-                         "limits": {**settings["limits"], **(limits or {})}}
+    w.raw["settings"] = {
+        **settings,
+        "request_classes": classes(w, **changes),
+        "limits": {**settings["limits"], **(limits or {})},
+    }
     w.service.reload()
 
 
@@ -521,9 +561,13 @@
         assert (await w.ask("/fresh", X_Request_ID="f0")).status == 404
         settings = w.raw["settings"]
         # First in the list, so that every position moves.
-        w.raw["settings"] = {**settings, "request_classes": [
-            {**settings["request_classes"][0], "name": "fresh", "deadline": 35.0, "aim": 35.0},
-            *classes(w, once=None, tour={"repeat": "side_effect"})]}
+        w.raw["settings"] = {
+            **settings,
+            "request_classes": [
+                {**settings["request_classes"][0], "name": "fresh", "deadline": 35.0, "aim": 35.0},
+                *classes(w, once=None, tour={"repeat": "side_effect"}),
+            ],
+        }
         os.kill(os.getpid(), signal.SIGHUP)
         await w.until(lambda: "success.fresh" in w.service.figures._counts)
         assert served(await w.ask("/fresh", X_Request_ID="f1", X_Timeout_Ms="2000"))
@@ -578,13 +622,22 @@
             else:
                 at[path[-1]] = value
 
-        faults = [(None, "discovery"), (None, "settings"), (None, "settings", "limits"),
-                  (None, "settings", "limits", "try_limit"), (None, "settings", "rules", "fall"),
-                  (0, "settings", "limits", "try_limit"), (-5, "settings", "request_classes", 1, "deadline"),
-                  (0, "settings", "request_classes", 1, "deadline"),
-                  *((None, "settings", "request_classes", 0, key)
-                    for key in ("name", "deadline", "aim", "repeat", "value")),
-                  (None, "settings", "request_classes", 1, "window"), (["other"], "settings", "kinds")]
+        faults = [
+            (None, "discovery"),
+            (None, "settings"),
+            (None, "settings", "limits"),
+            (None, "settings", "limits", "try_limit"),
+            (None, "settings", "rules", "fall"),
+            (0, "settings", "limits", "try_limit"),
+            (-5, "settings", "request_classes", 1, "deadline"),
+            (0, "settings", "request_classes", 1, "deadline"),
+            *(
+                (None, "settings", "request_classes", 0, key)
+                for key in ("name", "deadline", "aim", "repeat", "value")
+            ),
+            (None, "settings", "request_classes", 1, "window"),
+            (["other"], "settings", "kinds"),
+        ]
         for count, (value, *path) in enumerate(faults, 1):
             w.raw.clear()
             w.raw.update(copy.deepcopy(good))
@@ -601,7 +654,9 @@
 
 def test_classes_and_tenants_keep_what_was_learned_of_them_under_other_settings():
     def settings(*names, **more):
-        return api.Settings([api.JobClass(name, 2000.0, 9000.0) for name in names], max_attempts=3, **more)
+        return api.Settings(
+            [api.JobClass(name, 2000.0, 9000.0) for name in names], max_attempts=3, **more
+        )
 
     two = [api.Tenant("a", 10.0), api.Tenant("b", 20.0)]
     module = Dispatcher(settings("x", "y", tenants=two), 1)
@@ -609,9 +664,17 @@
     x, y = module.admission.classes
     y.mean, y.seen = 321.0, 9
     b = module.admission.tenants[1]
-    module.handle(10.0, [api.JobArrived("held", 0, 9000.0), api.SettingsChanged(
-        settings("z", "y", tenants=two[1:]))])
-    assert [c.spec.name for c in module.admission.classes] == ["z", "y"] and module.admission.classes[1] is y
+    module.handle(
+        10.0,
+        [
+            api.JobArrived("held", 0, 9000.0),
+            api.SettingsChanged(settings("z", "y", tenants=two[1:])),
+        ],
+    )
+    assert [c.spec.name for c in module.admission.classes] == [
+        "z",
+        "y",
+    ] and module.admission.classes[1] is y
     assert y.index == 1
     assert module.admission.tenants == [b] and set(b.gaps) == set(module.admission.classes)
     assert module.jobs["held"].cls is x  # it began with that
@@ -644,11 +707,16 @@
     w, now = module.fleet.workers["w"], 0.0
     ratios = []
     for i in range(20):  # ten times as long as the guess
-        sent = [a.job for a in module.handle(now, [api.JobArrived(f"j{i}", 0, now + 9000.0)])
-                if isinstance(a, api.Send)]
+        sent = [
+            a.job
+            for a in module.handle(now, [api.JobArrived(f"j{i}", 0, now + 9000.0)])
+            if isinstance(a, api.Send)
+        ]
         assert sent == [f"j{i}"]
         module.handle(now + 1.0, [api.AttemptStarted(f"j{i}", 0, "w")])
-        module.handle(now + 501.0, [api.AttemptEnded(f"j{i}", 0, "w", api.SERVED, 501.0, final=True)])
+        module.handle(
+            now + 501.0, [api.AttemptEnded(f"j{i}", 0, "w", api.SERVED, 501.0, final=True)]
+        )
         ratios.append(w.pace())
         now += 1000.0
     assert max(ratios) < 1.1 and w.seen > 0
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -16,10 +16,22 @@
 from yewrill.ownership.raft import ORDER, VOTERS, Disk, Entry, Message, Snapshot
 from yewrill.store import Store
 
-COMMAND = st.builds(Command, st.sampled_from((CLAIM, RENEW, GIVE_UP)), st.sampled_from("xy"),
-                    st.sampled_from("abc"), st.integers(1, 30), st.integers(0, 6), st.integers(0, 900))
-ENTRY = st.builds(Entry, st.integers(0, 9), st.sampled_from((ORDER, VOTERS)), st.binary(max_size=400),
-                  st.just(("a", "b")))
+COMMAND = st.builds(
+    Command,
+    st.sampled_from((CLAIM, RENEW, GIVE_UP)),
+    st.sampled_from("xy"),
+    st.sampled_from("abc"),
+    st.integers(1, 30),
+    st.integers(0, 6),
+    st.integers(0, 900),
+)
+ENTRY = st.builds(
+    Entry,
+    st.integers(0, 9),
+    st.sampled_from((ORDER, VOTERS)),
+    st.binary(max_size=400),
+    st.just(("a", "b")),
+)
 
 
 @given(st.lists(st.tuples(st.integers(0, 500), COMMAND), max_size=60))
@@ -47,13 +59,22 @@
         highest[duty] = max(number, highest.get(duty, 0))
 
 
-SNAPSHOT = st.builds(Snapshot, st.integers(0, 9), st.integers(0, 9), st.just(("a",)),
-                     st.binary(max_size=3000))
+SNAPSHOT = st.builds(
+    Snapshot, st.integers(0, 9), st.integers(0, 9), st.just(("a",)), st.binary(max_size=3000)
+)
 SAID = st.one_of(
     st.builds(Request, COMMAND),
     st.builds(Reply, st.integers(0, 9), st.booleans(), st.just(Result(True, 1, "a", 5))),
-    st.builds(Message, st.just("append"), st.just("a"), st.just("b"), st.integers(0, 9),
-              entries=st.lists(ENTRY, max_size=6).map(tuple), snapshot=st.none() | SNAPSHOT))
+    st.builds(
+        Message,
+        st.just("append"),
+        st.just("a"),
+        st.just("b"),
+        st.integers(0, 9),
+        entries=st.lists(ENTRY, max_size=6).map(tuple),
+        snapshot=st.none() | SNAPSHOT,
+    ),
+)
 
 
 @given(SAID, st.randoms(), st.binary(max_size=30))
@@ -67,8 +88,13 @@
             unpack(joiner.take("b", bad) or b"")
 
 
-DISK = st.builds(Disk, st.integers(0, 9), st.sampled_from(("", "a", "~")),
-                 st.lists(ENTRY, max_size=6).map(tuple), SNAPSHOT)
+DISK = st.builds(
+    Disk,
+    st.integers(0, 9),
+    st.sampled_from(("", "a", "~")),
+    st.lists(ENTRY, max_size=6).map(tuple),
+    SNAPSHOT,
+)
 
 
 @settings(max_examples=30)
@@ -147,7 +173,9 @@
 def test_a_voter_whose_disk_fails_stands_down_and_the_others_go_on():
     net = OwnNet(6, 5, 3)
     net.until(lambda: bool(net.owners()), 6)
-    leader = next(m for m in net.members.values() if m.node.driver and m.node.driver.raft.role == "leader")
+    leader = next(
+        m for m in net.members.values() if m.node.driver and m.node.driver.raft.role == "leader"
+    )
     leader.node.fail("ENOSPC")
     net.run(5)
     assert net.owners() and leader.node.driver.raft.role != "leader"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,8 +23,13 @@
     async with world(peer) as w:
         client = await w.client()
         for i in range(3):
-            reply = await client.ask("/tour/a?b=%20c", body=b"route", X_Request_ID=f"r{i}",
-                                     Idempotency_Key="k1", Cookie="user=7")
+            reply = await client.ask(
+                "/tour/a?b=%20c",
+                body=b"route",
+                X_Request_ID=f"r{i}",
+                Idempotency_Key="k1",
+                Cookie="user=7",
+            )
             assert (reply.status, reply.body) == (200, b"profile")
         seen = peer.exchanges[-1]
         assert (seen.target, seen.body, seen.id) == ("/tour/a?b=%20c", b"route", "r2")
@@ -40,6 +45,7 @@
             await failure(exchange)
         else:
             await exchange.done()
+
     script.failed = False
     return script
 
@@ -102,11 +108,25 @@
     await exchange.status(503)
 
 
-@pytest.mark.parametrize("failure, never_ran", [
-    (dies, False), (lost, False), (other_id, False), (nonsense, False), (endless, False), (not_http, False),
-    (no_result, False), (unwritable, False), (surrogate, False), (too_far, False),
-    (error, False), (plain_503, False), (returned, True), (handed_back, True),
-])
+@pytest.mark.parametrize(
+    "failure, never_ran",
+    [
+        (dies, False),
+        (lost, False),
+        (other_id, False),
+        (nonsense, False),
+        (endless, False),
+        (not_http, False),
+        (no_result, False),
+        (unwritable, False),
+        (surrogate, False),
+        (too_far, False),
+        (error, False),
+        (plain_503, False),
+        (returned, True),
+        (handed_back, True),
+    ],
+)
 @story
 async def test_what_may_have_run_is_sent_again_only_as_its_class_allows(failure, never_ran):
     for target, again in (("/tour", True), ("/once", never_ran)):
@@ -172,8 +192,10 @@
         began = trio.current_time()
         replies = []
         async with trio.open_nursery() as nursery:
+
             async def one():
                 replies.append(await w.ask(X_Timeout_Ms="300"))
+
             nursery.start_soon(one)
         assert replies[0].status == 503 and replies[0].headers["retry-after"] == "2"
         assert trio.current_time() - began < 0.3
@@ -198,6 +220,7 @@
 @timed_story
 async def test_the_watch_goes_on_at_once_and_outlives_a_silent_discovery(monkeypatch):
     from yewrill.net import poolconfig
+
     monkeypatch.setattr(poolconfig, "PATIENCE", 0.1)
     monkeypatch.setattr(poolconfig, "HOLD_MS", 100)
     peer = Peer("d1", done)
@@ -233,7 +256,9 @@
             peers[1].front = front
             await w.nursery.start(peers[1].serve)
             there = Discovery(peers)
-            there.version = 1  # an older count than the watch has seen: versions are each discovery's own
+            there.version = (
+                1  # an older count than the watch has seen: versions are each discovery's own
+            )
             w.raw.update(discovery=await there.serve(w.nursery), name="other")
             began = trio.current_time()
             os.kill(os.getpid(), signal.SIGHUP)
@@ -245,7 +270,9 @@
             peers[0].script = done
             assert (await w.ask(X_Request_ID="r2")).status == 200
             await w.nursery.start(finish, peers[0].exchanges[0])
-            assert (await client.reply()).status == 200  # what was taken before is served through it
+            assert (
+                await client.reply()
+            ).status == 200  # what was taken before is served through it
     finally:
         signal.signal(signal.SIGHUP, previous)
 
@@ -290,10 +317,16 @@
             client = await w.client()
             await client.send(X_Request_ID=f"r{i}")
             reply = await client.reply()
-            assert reply.status == 200 and b"refused" not in reply.body and b"failed" not in reply.body
-        assert all(worker.blocked <= w.service.decisions.now() and not worker.fails
-                   for worker in w.service.decisions._module.fleet.workers.values())
-        assert sum(len(p.exchanges) for p in peers) <= 12 + 2  # one loss each, then new connections only
+            assert (
+                reply.status == 200 and b"refused" not in reply.body and b"failed" not in reply.body
+            )
+        assert all(
+            worker.blocked <= w.service.decisions.now() and not worker.fails
+            for worker in w.service.decisions._module.fleet.workers.values()
+        )
+        assert (
+            sum(len(p.exchanges) for p in peers) <= 12 + 2
+        )  # one loss each, then new connections only
 
 
 @pytest.mark.parametrize("front", ["platform", "progress"])
@@ -347,24 +380,45 @@
 @pytest.mark.parametrize("front", ["platform", "progress"])
 @story
 async def test_a_first_try_with_little_patience_is_served_and_a_marked_late_retry_refused(front):
-    async with world(Peer("d1", done), front=front, settings={"client_habits": {"marks_retry": True}}) as w:
+    async with world(
+        Peer("d1", done), front=front, settings={"client_habits": {"marks_retry": True}}
+    ) as w:
+
         def served(reply):
             return reply.status == 200 and b"refused" not in reply.body
+
         assert served(await w.ask(X_Timeout_Ms="3000"))
         assert served(await w.ask(X_Request_ID="r2", X_Timeout_Ms="1000"))
         assert not served(await w.ask(X_Request_ID="r3", X_Timeout_Ms="1000", X_Retried="1"))
 
 
 BAD = [
-    (dict(target="/nowhere"), 404), (dict(method="PUT"), 405), (dict(X_Priority_Class="odd"), 400),
-    (dict(X_Priority_Class="save"), 400), (dict(X_Tenant_Id="odd"), 400), (dict(X_Tenant_Id=None), 400),
-    (dict(X_Request_ID=None), 400), (dict(X_Timeout_Ms="soon"), 400), (dict(X_Timeout_Ms="-5"), 400),
-    (dict(X_Timeout_Ms="0"), 400), (dict(X_Timeout_Ms="9" * 30), 400), (dict(X_Attrs="width=nan"), 400),
-    (dict(X_Attrs="width"), 400), (dict(x_request_id="r2"), 400), (dict(body=b"x" * 65537), 413),
-    (dict(X_Filler="y" * 30000), 431), (dict(target="/up"), 405),
-    (dict(X_Request_ID="r 1"), 400), (dict(X_Request_ID="r" * 129), 400), (dict(target="/tour/%zz"), 400),
-    (dict(target="//tour"), 404), (dict(target="/tour/" + "a" * 2048), 414), (dict(target='/tour/"<'), 400),
-    (dict(Idempotency_Key="a,b"), 400), (dict(X_Cost="1_0"), 400), (dict(X_Attrs="odd=x"), 400),
+    (dict(target="/nowhere"), 404),
+    (dict(method="PUT"), 405),
+    (dict(X_Priority_Class="odd"), 400),
+    (dict(X_Priority_Class="save"), 400),
+    (dict(X_Tenant_Id="odd"), 400),
+    (dict(X_Tenant_Id=None), 400),
+    (dict(X_Request_ID=None), 400),
+    (dict(X_Timeout_Ms="soon"), 400),
+    (dict(X_Timeout_Ms="-5"), 400),
+    (dict(X_Timeout_Ms="0"), 400),
+    (dict(X_Timeout_Ms="9" * 30), 400),
+    (dict(X_Attrs="width=nan"), 400),
+    (dict(X_Attrs="width"), 400),
+    (dict(x_request_id="r2"), 400),
+    (dict(body=b"x" * 65537), 413),
+    (dict(X_Filler="y" * 30000), 431),
+    (dict(target="/up"), 405),
+    (dict(X_Request_ID="r 1"), 400),
+    (dict(X_Request_ID="r" * 129), 400),
+    (dict(target="/tour/%zz"), 400),
+    (dict(target="//tour"), 404),
+    (dict(target="/tour/" + "a" * 2048), 414),
+    (dict(target='/tour/"<'), 400),
+    (dict(Idempotency_Key="a,b"), 400),
+    (dict(X_Cost="1_0"), 400),
+    (dict(X_Attrs="odd=x"), 400),
 ]
 
 
@@ -397,7 +451,9 @@
 @pytest.mark.parametrize("front", ["platform", "progress"])
 @pytest.mark.parametrize("outer", HIDING, ids=[str(i) for i in range(len(HIDING))])
 @story
-async def test_a_body_that_may_hide_a_request_is_refused_and_nothing_behind_it_is_read(outer, front):
+async def test_a_body_that_may_hide_a_request_is_refused_and_nothing_behind_it_is_read(
+    outer, front
+):
     peer = Peer("d1", done)
     async with world(peer, front=front) as w:
         stream = await trio.open_tcp_stream(*w.service.listener.address)
@@ -416,10 +472,18 @@
         odd = {"Transfer-Coding": "chunked", "X-Odd": "\xff", "Upgrade": "h2c", "Cookie": "user=7"}
         assert (await w.ask(**odd)).status == 200
         assert set(peer.exchanges[0].headers) == {
-            "host", "x-request-id", "x-tenant-id", "x-timeout-ms", "cookie", "content-length"}
-
-
-@pytest.mark.parametrize("raw", [b"\x16\x03\x01\x02\x00\r\n\r\n", b"POST /tour HTTP/1.1\r\nHost x\r\n\r\n"])
+            "host",
+            "x-request-id",
+            "x-tenant-id",
+            "x-timeout-ms",
+            "cookie",
+            "content-length",
+        }
+
+
+@pytest.mark.parametrize(
+    "raw", [b"\x16\x03\x01\x02\x00\r\n\r\n", b"POST /tour HTTP/1.1\r\nHost x\r\n\r\n"]
+)
 @story
 async def test_malformed_http_is_answered_400(raw):
     async with world(Peer("d1", done)) as w:
@@ -445,7 +509,9 @@
         assert (await idle.ask("/up", method="GET")).status == 503
         late, quiet = await w.client(), await w.client()
         await late.send(X_Request_ID="r2")
-        assert await quiet.stream.receive_some() == b""  # an idle connection is closed with the listener
+        assert (
+            await quiet.stream.receive_some() == b""
+        )  # an idle connection is closed with the listener
         with pytest.raises(OSError):
             await w.client()
         assert not w.ended.is_set()
@@ -526,12 +592,16 @@
             raise OSError(errno.EMFILE, "Too many open files")
 
         monkeypatch.setattr(Connection, "open", short)
-        assert (await w.ask("/once")).status == 503  # refused, which a class that ran would not allow
+        assert (
+            await w.ask("/once")
+        ).status == 503  # refused, which a class that ran would not allow
         assert (await w.service.destinations.probe("d1"))[0] is Ending.TURNED_AWAY
         monkeypatch.setattr(Connection, "open", real)
         began = trio.current_time()
         assert (await w.ask("/once", X_Request_ID="r2")).status == 200
-        assert trio.current_time() - began < 0.2  # a destination thought unreachable is left alone longer
+        assert (
+            trio.current_time() - began < 0.2
+        )  # a destination thought unreachable is left alone longer
 
 
 @story
@@ -544,16 +614,23 @@
 
     peer.script = script
     async with world(peer) as w:
-        for script.status, ending in ((200, Ending.SERVED), (503, Ending.TURNED_AWAY), (404, Ending.FAILED)):
+        for script.status, ending in (
+            (200, Ending.SERVED),
+            (503, Ending.TURNED_AWAY),
+            (404, Ending.FAILED),
+        ):
             assert (await w.service.destinations.probe("d1"))[0] is ending
         peer.script = hang
         assert (await w.service.destinations.probe("d1"))[0] is Ending.UNREACHED
-        assert peer.connections == 4  # each on its own: an old connection says little of the destination
+        assert (
+            peer.connections == 4
+        )  # each on its own: an old connection says little of the destination
 
 
 @story
 async def test_a_fault_in_a_standing_task_does_not_end_the_program(monkeypatch):
     async with world(Peer("d1", done)) as w:
+
         def faulty(answer, cached=False):
             monkeypatch.undo()
             raise KeyError("a fault for the test")
@@ -580,7 +657,9 @@
 
 @FRONTS
 @timed_story
-async def test_silence_and_half_a_request_end_in_time_and_a_kept_connection_does_not(front, monkeypatch):
+async def test_silence_and_half_a_request_end_in_time_and_a_kept_connection_does_not(
+    front, monkeypatch
+):
     monkeypatch.setattr(listener, "REQUEST_TIME", 0.15)
     async with world(Peer("d1", done), front=front) as w:
         kept, silent, half = await w.client(), await w.client(), await w.client()
@@ -596,7 +675,9 @@
 
 @FRONTS
 @timed_story
-async def test_a_flood_of_silent_connections_takes_no_place_from_those_that_work(front, monkeypatch):
+async def test_a_flood_of_silent_connections_takes_no_place_from_those_that_work(
+    front, monkeypatch
+):
     monkeypatch.setattr(listener, "SETTLED", 0.05)
     async with world(Peer("d1", done), front=front, limits={"sockets": 80}) as w:
         kept = await w.client()
@@ -629,7 +710,9 @@
 
 @FRONTS
 @story
-async def test_an_id_in_use_at_a_client_or_a_destination_is_refused_and_its_holder_is_untouched(front):
+async def test_an_id_in_use_at_a_client_or_a_destination_is_refused_and_its_holder_is_untouched(
+    front,
+):
     async def when_told(exchange):
         exchange.go_on = trio.Event()
         await exchange.go_on.wait()
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -48,12 +48,17 @@
         client = await w.client()
         await client.send()
         head = await client.event()
-        assert (head.status_code, dict(head.headers)[b"content-type"]) == (200, b"text/event-stream")
+        assert (head.status_code, dict(head.headers)[b"content-type"]) == (
+            200,
+            b"text/event-stream",
+        )
         parser, events = EventStreamParser(), []
         while not events:
             events += parser.feed(bytes((await client.event()).data))
-        assert (events[0].type, ujson.loads(events[0].data)) == \
-            ("progress", {"id": "r1", "attempt": 0, "share": 0.4})
+        assert (events[0].type, ujson.loads(events[0].data)) == (
+            "progress",
+            {"id": "r1", "attempt": 0, "share": 0.4},
+        )
         peer.exchanges[0].seen.set()
         while len(events) < 2:
             events += parser.feed(bytes((await client.event()).data))
@@ -63,6 +68,7 @@
 
 def dies_first(then):
     """The first attempt of all peers tells of progress and dies; the next ones go on as told."""
+
     async def script(exchange):
         if script.first:
             script.first = False
@@ -71,13 +77,16 @@
             exchange.reset()
         else:
             await then(exchange)
+
     script.first, script.passed = True, trio.Event()
     return script
 
 
 @pytest.mark.parametrize("target, final", [("/tour", "served"), ("/once", "failed")])
 @story
-async def test_a_destination_that_dies_mid_stream_is_retried_only_as_the_class_allows(target, final):
+async def test_a_destination_that_dies_mid_stream_is_retried_only_as_the_class_allows(
+    target, final
+):
     script = dies_first(done)
     peers = [Peer("d1", script), Peer("d2", script)]
     async with world(*peers, front="progress") as w:
@@ -223,7 +232,9 @@
         try:
             client = await w.client()
             try:
-                await client.send(rng.choice(("/tour", "/save", "/once")), X_Request_ID=f"r{number}")
+                await client.send(
+                    rng.choice(("/tour", "/save", "/once")), X_Request_ID=f"r{number}"
+                )
                 if rng.random() < 0.1:
                     left += 1
                     return
@@ -285,12 +296,17 @@
 
 
 def test_the_event_stream_format():
-    text = ('\ufeff: a comment\r\nevent: progress\rid: 4\r\ndata:{"a":\ndata: "ü"}\n\n'
-            "retry: 10\nodd: field\ndata\n\nevent: never\n\ndata: cut off\n").encode()
+    text = (
+        '\ufeff: a comment\r\nevent: progress\rid: 4\r\ndata:{"a":\ndata: "ü"}\n\n'
+        "retry: 10\nodd: field\ndata\n\nevent: never\n\ndata: cut off\n"
+    ).encode()
     whole = EventStreamParser().feed(text)
-    assert [(e.type, e.data, e.id) for e in whole] == [("progress", '{"a":\n"ü"}', "4"), ("message", "", "4")]
+    assert [(e.type, e.data, e.id) for e in whole] == [
+        ("progress", '{"a":\n"ü"}', "4"),
+        ("message", "", "4"),
+    ]
     pieces = EventStreamParser()
-    assert [e for i in range(len(text)) for e in pieces.feed(text[i:i + 1])] == whole
+    assert [e for i in range(len(text)) for e in pieces.feed(text[i : i + 1])] == whole
     data = {"result": "a\r\nevent: served\n\n/", "more": [1.5]}
     [event] = EventStreamParser().feed(encode_event("served", data, "1"))
     assert (event.type, ujson.loads(event.data), event.id) == ("served", data, "1")
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -35,7 +35,9 @@
 class CommitsAnEarlierTerm(Raft):
     def _advance(self):
         for index in range(self.last, self.commit, -1):
-            if self._majority({self.me} | {name for name, upto in self.match.items() if upto >= index}):
+            if self._majority(
+                {self.me} | {name for name, upto in self.match.items() if upto >= index}
+            ):
                 self._commit_to(index)
                 return
 
@@ -76,23 +78,38 @@
 EARLIER = Bounds(term=5, log=3, messages=2, orders=0, crashes=0, states=25_000)
 
 
-@pytest.mark.parametrize(("checker", "bounds", "whole"), [
-    (Checker, ONE_TERM, True), (Checker, ELECTIONS, False), (Checker, CRASH, False), (Checker, TAIL, False),
-    (Later, replace(EARLIER, states=6_000), False),
-])
-def test_no_order_of_events_within_the_bounds_breaks_an_invariant(checker, bounds, whole, monkeypatch):
+@pytest.mark.parametrize(
+    ("checker", "bounds", "whole"),
+    [
+        (Checker, ONE_TERM, True),
+        (Checker, ELECTIONS, False),
+        (Checker, CRASH, False),
+        (Checker, TAIL, False),
+        (Later, replace(EARLIER, states=6_000), False),
+    ],
+)
+def test_no_order_of_events_within_the_bounds_breaks_an_invariant(
+    checker, bounds, whole, monkeypatch
+):
     monkeypatch.setattr(raft_module, "BATCH", 1)  # so that parts of what is sent may arrive
     found = checker(bounds).run()
     assert not found.broken, (found.broken, found.path)
     assert found.whole or not whole
 
 
-@pytest.mark.parametrize(("mutant", "checker", "bounds", "trust"), [
-    (VoteNotKept, Checker, CRASH, True), (VotesTwice, Checker, ELECTIONS, False),
-    (VotesForOlderLogs, Checker, ELECTIONS, False), (CommitsAnEarlierTerm, Later, EARLIER, False),
-    (Raft, Checker, TAIL, True),
-])
-def test_the_checker_finds_a_machine_that_is_a_little_wrong(mutant, checker, bounds, trust, monkeypatch):
+@pytest.mark.parametrize(
+    ("mutant", "checker", "bounds", "trust"),
+    [
+        (VoteNotKept, Checker, CRASH, True),
+        (VotesTwice, Checker, ELECTIONS, False),
+        (VotesForOlderLogs, Checker, ELECTIONS, False),
+        (CommitsAnEarlierTerm, Later, EARLIER, False),
+        (Raft, Checker, TAIL, True),
+    ],
+)
+def test_the_checker_finds_a_machine_that_is_a_little_wrong(
+    mutant, checker, bounds, trust, monkeypatch
+):
     monkeypatch.setattr(raft_module, "BATCH", 1)
     found = checker(bounds, mutant, trust_disk=trust).run()
     assert found.broken and found.path
@@ -105,7 +122,9 @@
     """Everything that may befall five voters, or three, at random; then peace, and they must work again."""
     rng = random.Random(seed)
     voters = rng.choice((3, 5))
-    path = Path(delay=0.005, jitter=rng.choice((0.005, 0.05)), loss=rng.choice((0.0, 0.05, 0.2)), twice=0.1)
+    path = Path(
+        delay=0.005, jitter=rng.choice((0.005, 0.05)), loss=rng.choice((0.0, 0.05, 0.2)), twice=0.1
+    )
     net = RaftNet(seed, voters, path, make=make)
     net.voters[rng.choice(net.names)].rate = 1.1
     orders, end = 0, net.now + span
@@ -143,8 +162,9 @@
     assert len(chaos(seed).committed) > 20
 
 
-@pytest.mark.parametrize("mutant", [HearsEarlierIncarnations, TakesWhatDoesNotFit, VotesForOlderLogs,
-                                    VotesTwice])
+@pytest.mark.parametrize(
+    "mutant", [HearsEarlierIncarnations, TakesWhatDoesNotFit, VotesForOlderLogs, VotesTwice]
+)
 def test_random_runs_find_a_machine_that_is_a_little_wrong(mutant):
     def breaks(seed):
         try:
@@ -196,7 +216,9 @@
 def test_voters_change_one_at_a_time_and_a_read_needs_a_majority():
     names = ("a", "b", "c")
     leader = Raft("a", 1, Disk(snapshot=Snapshot(0, 0, names)), trust_disk=True)
-    peers = {name: Raft(name, 1, Disk(snapshot=Snapshot(0, 0, names)), trust_disk=True) for name in "bcd"}
+    peers = {
+        name: Raft(name, 1, Disk(snapshot=Snapshot(0, 0, names)), trust_disk=True) for name in "bcd"
+    }
 
     def run(cut=()):
         waiting, seen = leader.take(), []
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -20,39 +20,62 @@
 from yewrill.ending import Ending
 
 FIELDS = ("qps", "inflight", "x0")
-ANY = st.recursive(st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=9),
-                   lambda inner: st.dictionaries(st.sampled_from([*FIELDS, "odd"]), inner), max_leaves=8)
+ANY = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=9),
+    lambda inner: st.dictionaries(st.sampled_from([*FIELDS, "odd"]), inner),
+    max_leaves=8,
+)
 
 
 # ---------------------------------------------------------------------------------------------- what is read
 
 
-@given(ANY | st.dictionaries(st.sampled_from([*FIELDS, "odd"]), st.floats(-1.0, 2e6) | st.just(math.nan)))
+@given(
+    ANY
+    | st.dictionaries(st.sampled_from([*FIELDS, "odd"]), st.floats(-1.0, 2e6) | st.just(math.nan))
+)
 def test_a_report_is_taken_whole_and_sound_or_not_at_all(said):
     report = loadreport.read(said, FIELDS)
     if report is not None:
-        assert tuple(report) == FIELDS and all(0.0 <= value <= loadreport.MOST for value in report.values())
+        assert tuple(report) == FIELDS and all(
+            0.0 <= value <= loadreport.MOST for value in report.values()
+        )
         assert report == {name: said[name] for name in FIELDS}
     elif isinstance(said, dict) and set(FIELDS) <= set(said):
-        assert any(type(v) not in (int, float) or not 0 <= v <= loadreport.MOST
-                   for name, v in said.items() if name in FIELDS)
+        assert any(
+            type(v) not in (int, float) or not 0 <= v <= loadreport.MOST
+            for name, v in said.items()
+            if name in FIELDS
+        )
 
 
-@given(st.text(max_size=60) | st.from_regex(r"(x0|inflight|qps)=[-0-9.enai]{0,6}(,x0=1)?", fullmatch=True))
+@given(
+    st.text(max_size=60)
+    | st.from_regex(r"(x0|inflight|qps)=[-0-9.enai]{0,6}(,x0=1)?", fullmatch=True)
+)
 def test_no_header_is_too_odd_to_be_read_or_left(text):
     found = loadreport.from_header(text)
     assert loadreport.read(found, ("x0",)) is None or 0.0 <= float(found["x0"]) <= loadreport.MOST
 
 
-REPORTING = {"load_report": {"via": "inline", "fields": list(FIELDS)},
-             "specifics": {"tells_start": True, "report_x0": "free slots"}}
+REPORTING = {
+    "load_report": {"via": "inline", "fields": list(FIELDS)},
+    "specifics": {"tells_start": True, "report_x0": "free slots"},
+}
 GOOD = {"qps": 2.0, "inflight": 3.0, "x0": 1.0}
 
 
 @story
 async def test_reports_reach_the_module_from_lines_headers_and_probes_and_a_bad_one_costs_itself_alone():
-    said = [GOOD, {**GOOD, "x0": -1.0}, {**GOOD, "x0": math.nan}, "odd", {"qps": 1.0}, None,
-            {**GOOD, "x0": 2.0}]
+    said = [
+        GOOD,
+        {**GOOD, "x0": -1.0},
+        {**GOOD, "x0": math.nan},
+        "odd",
+        {"qps": 1.0},
+        None,
+        {**GOOD, "x0": 2.0},
+    ]
     paths = []
 
     async def script(exchange):
@@ -60,13 +83,16 @@
         if exchange.target.startswith(("/alive", "/metrics")):
             body = ujson.dumps({**GOOD, "x0": 4.0})
             await exchange.stream.send_all(
-                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
         elif exchange.body == b"full":
             await exchange.status(503, "X-Not-Processed: 1", "X-Server-Load: x0=0,qps=5,inflight=9")
         else:
             load = said[int(exchange.body)]
             extra = "" if load is None else f', "load": {json.dumps(load)}'  # NaN too
-            await exchange.raw(f'{{"id": "{exchange.id}", "state": "done", "result": "r"{extra}}}\n')
+            await exchange.raw(
+                f'{{"id": "{exchange.id}", "state": "done", "result": "r"{extra}}}\n'
+            )
             await exchange.stream.send_all(b"0\r\n\r\n")
 
     async with world(Peer("d1", script), settings=REPORTING) as w:
@@ -101,10 +127,18 @@
 
 
 def reporting(workers=1, **more):
-    settings = Settings([api.JobClass("c", 1000.0, 9000.0)], tells_start=True, report_fields=FIELDS,
-                        free_slots_field="x0", max_attempts=3, **more)
+    settings = Settings(
+        [api.JobClass("c", 1000.0, 9000.0)],
+        tells_start=True,
+        report_fields=FIELDS,
+        free_slots_field="x0",
+        max_attempts=3,
+        **more,
+    )
     d = Dispatcher(settings, 1)
-    d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i}") for i in range(workers)])])
+    d.handle(
+        0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry(f"w{i}") for i in range(workers)])]
+    )
     return d
 
 
@@ -120,7 +154,9 @@
             told(d, 1000.0 * goal + 10.0 * i, goal - i % 4, i % 4)
         assert kind.slots == pytest.approx(goal, abs=0.1)
     told(d, 90_000.0, 0.0, 10.0)
-    assert d.fleet.workers["w0"].free == pytest.approx(-6.0, abs=0.3)  # the queue there, not just "none free"
+    assert d.fleet.workers["w0"].free == pytest.approx(
+        -6.0, abs=0.3
+    )  # the queue there, not just "none free"
 
 
 def test_the_same_reading_again_tells_nothing_of_what_was_sent_since():
@@ -189,7 +225,9 @@
                 if not attempt.started and now - attempt.sent >= wait:
                     d.handle(now, [api.AttemptStarted(attempt.job.id, attempt.number, "w0")])
                 elif attempt.started and now - attempt.started >= 100.0:
-                    d.handle(now, [api.AttemptEnded(attempt.job.id, 0, "w0", api.SERVED, 0.0, True)])
+                    d.handle(
+                        now, [api.AttemptEnded(attempt.job.id, 0, "w0", api.SERVED, 0.0, True)]
+                    )
         assert len(w.queue) <= 12
         return sent, d.fleet.surprise
 
@@ -200,7 +238,9 @@
 # ------------------------------------------------------------------------------------------------------ keys
 
 
-@given(st.sets(st.text("0123456789abcdef", min_size=4, max_size=8), min_size=2, max_size=30), st.data())
+@given(
+    st.sets(st.text("0123456789abcdef", min_size=4, max_size=8), min_size=2, max_size=30), st.data()
+)
 def test_a_node_that_goes_moves_only_its_own_keys(names, data):
     gone = data.draw(st.sampled_from(sorted(names)))
     numbers = {name: rendezvous.number(name) for name in names}
@@ -208,13 +248,17 @@
         before = rendezvous.homes(key, sorted(names), 3, numbers.__getitem__)
         after = rendezvous.homes(key, sorted(names - {gone}, reverse=True), 3, numbers.__getitem__)
         kept = [name for name in before if name != gone]
-        assert after[:len(kept)] == kept
+        assert after[: len(kept)] == kept
 
 
 def test_keys_are_spread_evenly():
     names = [f"s-{random.Random(i).getrandbits(32):08x}" for i in range(16)]
-    homes = Counter(rendezvous.homes(f"{i:x}", names, 1, rendezvous.number)[0] for i in range(16_000))
-    assert len(homes) == 16 and max(homes.values()) < 1.15 * 1000 and min(homes.values()) > 0.85 * 1000
+    homes = Counter(
+        rendezvous.homes(f"{i:x}", names, 1, rendezvous.number)[0] for i in range(16_000)
+    )
+    assert (
+        len(homes) == 16 and max(homes.values()) < 1.15 * 1000 and min(homes.values()) > 0.85 * 1000
+    )
 
 
 def sent_to(d, now, job, key):
@@ -264,7 +308,9 @@
     assert used.most_common(1)[0][1] >= 0.3 * sum(used.values())
 
 
-@pytest.mark.parametrize("warm_after,recorded", [(0.0, "193a9f2a115b9402"), (6200.0, "9405f89826dfb410")])
+@pytest.mark.parametrize(
+    "warm_after,recorded", [(0.0, "193a9f2a115b9402"), (6200.0, "9405f89826dfb410")]
+)
 def test_a_fleet_without_reports_or_keys_decides_as_it_did(warm_after, recorded):
     """The actions of six dispatchers over seconds of calm, overload and change, as one digest: recorded when
     the module was split into parts, which did as the one file before on recorded streams of events. That with
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,19 +24,35 @@
     def __init__(self, seed: int, dispatchers: int):
         self.rng = random.Random(seed)
         self.settings = Settings(
-            classes=CLASSES, kinds=2, dispatchers=dispatchers, tenants=[api.Tenant("a", 50.0)],
-            tells_start=True, report_fields=("x0",), free_slots_field="x0", may_probe=True,
-            max_attempts=4, answer_slack=8.0, cold_multiple=3.0, cold_window=2000.0,
-            start_capacity=0.2, warm_after=5000.0, list_on_request=bool(seed % 2), over_share_worth=0.2,
+            classes=CLASSES,
+            kinds=2,
+            dispatchers=dispatchers,
+            tenants=[api.Tenant("a", 50.0)],
+            tells_start=True,
+            report_fields=("x0",),
+            free_slots_field="x0",
+            may_probe=True,
+            max_attempts=4,
+            answer_slack=8.0,
+            cold_multiple=3.0,
+            cold_window=2000.0,
+            start_capacity=0.2,
+            warm_after=5000.0,
+            list_on_request=bool(seed % 2),
+            over_share_worth=0.2,
             max_retry_after=1000.0,
         )
         self.d = Dispatcher(self.settings, seed)
         self.now = 1000.0
         self.jobs: dict[str, dict] = {}
         self.timers: list[tuple[float, int]] = []
-        self.workers = {f"w{i}": api.WorkerEntry(f"w{i}", kind=i % 2, cell=i // 2) for i in range(6)}
+        self.workers = {
+            f"w{i}": api.WorkerEntry(f"w{i}", kind=i % 2, cell=i // 2) for i in range(6)
+        }
         self.stopped: set[str] = set()
-        self.pending: list[api.Event] = [api.WorkerList(api.LIST_CACHED, list(self.workers.values()))]
+        self.pending: list[api.Event] = [
+            api.WorkerList(api.LIST_CACHED, list(self.workers.values()))
+        ]
         self.trace: list[str] = []
         self.number = 0
 
@@ -65,13 +81,17 @@
         for event in events:
             if isinstance(event, api.WorkerList):
                 for entry in event.entries:
-                    (self.stopped.discard if entry.state == api.RUNNING else self.stopped.add)(entry.worker)
+                    (self.stopped.discard if entry.state == api.RUNNING else self.stopped.add)(
+                        entry.worker
+                    )
         actions = self.d.handle(self.now, events)
         self.trace.append(repr(actions))
         for action in actions:
             self.check(action)
         for name, job in self.jobs.items():
-            assert job["final"] or self.now <= job["deadline"] + self.settings.answer_slack + 80.0, name
+            assert (
+                job["final"] or self.now <= job["deadline"] + self.settings.answer_slack + 80.0
+            ), name
 
     def job_events(self, name: str) -> list[api.Event]:
         rng = self.rng
@@ -85,14 +105,26 @@
             if rng.random() < 0.05:
                 events.append(api.AttemptProgress(name, attempt["n"], attempt["worker"], 0.5))
             if rng.random() < 0.15:
-                outcome = rng.choice((api.SERVED, api.ERROR, api.FULL, api.TIMEOUT, api.NO_CONNECTION,
-                                      api.CONNECTION_LOST, api.CANCELLED))
+                outcome = rng.choice(
+                    (
+                        api.SERVED,
+                        api.ERROR,
+                        api.FULL,
+                        api.TIMEOUT,
+                        api.NO_CONNECTION,
+                        api.CONNECTION_LOST,
+                        api.CANCELLED,
+                    )
+                )
                 attempt["outcome"] = outcome
                 final = job["final"] or outcome == api.SERVED
                 job["final"] = final
                 report = {"x0": rng.randrange(-1, 5), "odd": 1.0} if rng.random() < 0.5 else None
                 events.append(
-                    api.AttemptEnded(name, attempt["n"], attempt["worker"], outcome, 10.0, final, report))
+                    api.AttemptEnded(
+                        name, attempt["n"], attempt["worker"], outcome, 10.0, final, report
+                    )
+                )
                 if rng.random() < 0.1:
                     events.append(api.AttemptStarted(name, attempt["n"], attempt["worker"]))
         if not job["final"] and not events and rng.random() < 0.005:
@@ -132,9 +164,12 @@
         if ran and spec.effect != api.SAFE:
             assert spec.effect == api.KEYED, "an unsafe job sent again"
             assert all(self.now - a["at"] <= spec.window for a in ran)
-            assert spec.group == "all" or all(self.workers[a["worker"]].cell == entry.cell for a in ran)
+            assert spec.group == "all" or all(
+                self.workers[a["worker"]].cell == entry.cell for a in ran
+            )
         job["attempts"].append(
-            {"n": len(job["attempts"]), "worker": action.worker, "outcome": None, "at": self.now})
+            {"n": len(job["attempts"]), "worker": action.worker, "outcome": None, "at": self.now}
+        )
 
 
 @settings(max_examples=30, deadline=None, derandomize=True)
@@ -155,12 +190,23 @@
     sent = 0
     for number in range(dispatchers):
         cls = api.JobClass("c", 2000.0, 20_000.0)
-        d = Dispatcher(Settings(
-            classes=[cls], dispatchers=dispatchers, cold_multiple=3.0, cold_window=2000.0, start_capacity=0.2,
-            warm_after=10_000.0, max_attempts=3), number)
+        d = Dispatcher(
+            Settings(
+                classes=[cls],
+                dispatchers=dispatchers,
+                cold_multiple=3.0,
+                cold_window=2000.0,
+                start_capacity=0.2,
+                warm_after=10_000.0,
+                max_attempts=3,
+            ),
+            number,
+        )
         d.fleet.kinds[0].slots = 4.0
         d.admission.classes[0].mean = 1000.0
-        d.handle(1000.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("cold", launched=1000.0)])])
+        d.handle(
+            1000.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("cold", launched=1000.0)])]
+        )
         for i in range(20):
             now = 1000.0 + 100.0 * i
             d.fleet.kinds[0].free, d.fleet.workers["cold"].cap = 50.0, 50.0
@@ -194,7 +240,9 @@
 
 
 def test_the_final_answer_does_not_wait_for_an_outcome():
-    d = Dispatcher(Settings(classes=[api.JobClass("c", 500.0, 5000.0, effect=api.UNSAFE)], max_attempts=3), 1)
+    d = Dispatcher(
+        Settings(classes=[api.JobClass("c", 500.0, 5000.0, effect=api.UNSAFE)], max_attempts=3), 1
+    )
     d.handle(0.0, [api.WorkerList(api.LIST_FULL, [api.WorkerEntry("w1")])])
     out = d.handle(1.0, [api.JobArrived("j", 0, 5001.0)])
     due = min(a.delay for a in out if isinstance(a, api.SetTimer) and a.token == 4) + 1.0
