--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -25,7 +25,9 @@
             found = real(listener)
             if listener is w.service.listener and listener.clients and not accepted:
                 accepted.append(True)
-                w.nursery.start_soon(w.service.drain)  # as SIGTERM does; the accepted one was not read yet
+                w.nursery.start_soon(
+                    w.service.drain
+                )  # as SIGTERM does; the accepted one was not read yet
             return found
 
         monkeypatch.setattr(Listener, "_accept_one", accepts)
@@ -45,8 +47,9 @@
 @timed_story
 async def test_no_request_is_left_without_an_answer_by_workers_that_are_silent_and_an_end(front):
     peers = [Peer(f"d{i}", hang) for i in range(3)]
-    async with world(*peers, front=front, settings=ROOMY,
-                     timing={"linger_ms": 50, "grace_ms": 1400}) as w:
+    async with world(
+        *peers, front=front, settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 1400}
+    ) as w:
         clients = [await w.client() for _ in range(30)]
         for number, client in enumerate(clients):
             target = ("/tour", "/save", "/once")[number % 3]
@@ -124,7 +127,9 @@
         await exchange.done()
 
     go_on, peer = trio.Event(), Peer("d1", waits)
-    async with world(peer, front=front, settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 4000}) as w:
+    async with world(
+        peer, front=front, settings=ROOMY, timing={"linger_ms": 50, "grace_ms": 4000}
+    ) as w:
         there = Discovery([peer])
         there.silent = True  # the new discovery says nothing: what is known goes on serving
         address = await there.serve(w.nursery)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -95,6 +95,7 @@
                 await exchange.closed()
             else:
                 await exchange.done()
+
         return run
 
 
@@ -108,9 +109,18 @@
             await nursery.start(peer.serve)
         discovery = Discovery(rack.peers)
         config = tmp_path / "config.json"
-        config.write_text(ujson.dumps({
-            "listen": "127.0.0.1:0", "discovery": await discovery.serve(nursery), "settings": SETTINGS,
-            "state_dir": str(tmp_path / "state"), "state": {"patience_ms": 5000}, **MGMT}))
+        config.write_text(
+            ujson.dumps(
+                {
+                    "listen": "127.0.0.1:0",
+                    "discovery": await discovery.serve(nursery),
+                    "settings": SETTINGS,
+                    "state_dir": str(tmp_path / "state"),
+                    "state": {"patience_ms": 5000},
+                    **MGMT,
+                }
+            )
+        )
         out: dict[str, bool | None] = {}  # None: the call was under way, either may hold
         lame: list[bool | None] = [False]
         keys: dict[str, str] = {}
@@ -160,7 +170,9 @@
             answers = {}
 
             async def again(key: str, target: str) -> None:
-                answers[key] = await second.ask(target, X_Request_ID=f"again-{key}", Idempotency_Key=key)
+                answers[key] = await second.ask(
+                    target, X_Request_ID=f"again-{key}", Idempotency_Key=key
+                )
 
             async with trio.open_nursery() as repeats:
                 for key, target in keys.items():
@@ -182,7 +194,9 @@
 
 
 @story
-async def test_no_byte_of_a_keyed_or_side_effect_attempt_goes_out_before_its_record_is_on_disk(tmp_path):
+async def test_no_byte_of_a_keyed_or_side_effect_attempt_goes_out_before_its_record_is_on_disk(
+    tmp_path,
+):
     peer = Peer("d1", done)
     async with world(peer, **state(tmp_path)) as w:
         store, gate, waiting = w.service.keeper._store, trio.Event(), []
@@ -196,24 +210,35 @@
         store.awrite = held
         async with trio.open_nursery() as nursery:
             for target in ("/save", "/once"):
-                nursery.start_soon(lambda t=target: w.ask(t, X_Request_ID=t[1:], Idempotency_Key="k" + t[1:]))
+                nursery.start_soon(
+                    lambda t=target: w.ask(t, X_Request_ID=t[1:], Idempotency_Key="k" + t[1:])
+                )
             await w.until(lambda: len(waiting) >= 2)
             assert (await w.ask(X_Request_ID="plain")).status == 200  # waits for no disk
             assert [x.id for x in peer.exchanges] == ["plain"]
             gate.set()
         assert {x.id for x in peer.exchanges} == {"plain", "save", "once"}
-        await w.until(lambda: not list(store.scan(prefix=b"sent/")))  # and it goes when they are over
+        await w.until(
+            lambda: not list(store.scan(prefix=b"sent/"))
+        )  # and it goes when they are over
 
 
 @story
 async def test_a_store_that_fails_costs_no_answer_and_is_told_once(tmp_path, caplog):
     async with world(Peer("d1", done), **state(tmp_path)) as w:
-        await w.until(lambda: b"app.state_kept:1|c" in w.service.figures.text({}).encode())  # the list
+        await w.until(
+            lambda: b"app.state_kept:1|c" in w.service.figures.text({}).encode()
+        )  # the list
         w.service.keeper._store.engine.poison = OSError(errno.EIO, "gone")
         for i in range(3):
-            assert (await w.ask("/save", X_Request_ID=f"r{i}", Idempotency_Key=f"k{i}")).status == 200
+            assert (
+                await w.ask("/save", X_Request_ID=f"r{i}", Idempotency_Key=f"k{i}")
+            ).status == 200
         detached = await w.call("PUT /_profilers/detach?name=d1")
-        assert (detached.status, detached.body) == (200, b"detached, but not on disk: a restart forgets it\n")
+        assert (detached.status, detached.body) == (
+            200,
+            b"detached, but not on disk: a restart forgets it\n",
+        )
         assert not w.service.pool.may_send("d1")
         assert b"app.state_failed:4|c" in (await w.call("GET /_vars")).body
     assert sum("state-failed" in record.getMessage() for record in caplog.records) == 1
@@ -244,8 +269,11 @@
         kept.close()
         from yewrill.service import Service
 
-        service = Service(read_config({"listen": "127.0.0.1:0", "discovery": address, "settings": SETTINGS,
-                                       **config}))
+        service = Service(
+            read_config(
+                {"listen": "127.0.0.1:0", "discovery": address, "settings": SETTINGS, **config}
+            )
+        )
         await nursery.start(lambda task_status: service.run(signals=False, task_status=task_status))
         assert service.lame and service.pool.out == ["d2"] and service.pool.back == {"d1": at}
         service.decisions.tick()
@@ -274,23 +302,48 @@
 
 def test_a_second_program_on_one_directory_is_refused_and_without_one_nothing_is_imported(tmp_path):
     config = tmp_path / "config.json"
-    config.write_text(ujson.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS,
-                                   "state_dir": str(tmp_path / "state")}))
+    config.write_text(
+        ujson.dumps(
+            {
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:9",
+                "settings": SETTINGS,
+                "state_dir": str(tmp_path / "state"),
+            }
+        )
+    )
     command = [sys.executable, "-m", "yewrill", "serve", "--config", str(config)]
     with Store(tmp_path / "state"):
         ended = subprocess.run(command, capture_output=True, text=True)
-    assert ended.returncode == 1 and "can't-start: state_dir: " in ended.stderr and "held by" in ended.stderr
-    code = ("import sys, yewrill.cli, yewrill.service\n"
-            "print([m for m in sys.modules if 'store' in m or 'crc' in m or 'keeping' in m])")
-    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
-
-
-@pytest.mark.parametrize("more, key", [({"state": {}}, "state_dir"), ({"state_dir": 5}, "state_dir"),
-                                       ({"state_dir": "x", "state": {"mode": "soon"}}, "state.mode"),
-                                       ({"state_dir": "x", "state": {"odd": 1}}, "state.odd")])
+    assert (
+        ended.returncode == 1
+        and "can't-start: state_dir: " in ended.stderr
+        and "held by" in ended.stderr
+    )
+    code = (
+        "import sys, yewrill.cli, yewrill.service\n"
+        "print([m for m in sys.modules if 'store' in m or 'crc' in m or 'keeping' in m])"
+    )
+    assert (
+        subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout
+        == "[]\n"
+    )
+
+
+@pytest.mark.parametrize(
+    "more, key",
+    [
+        ({"state": {}}, "state_dir"),
+        ({"state_dir": 5}, "state_dir"),
+        ({"state_dir": "x", "state": {"mode": "soon"}}, "state.mode"),
+        ({"state_dir": "x", "state": {"odd": 1}}, "state.odd"),
+    ],
+)
 def test_faulty_state_keys_are_named(more, key):
     with pytest.raises(ConfigError, match=f"^{key}: "):
-        read_config({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS, **more})
+        read_config(
+            {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS, **more}
+        )
 
 
 # -- the module, told of an attempt of an earlier run
@@ -301,15 +354,22 @@
     module = Dispatcher(api.Settings(classes, max_attempts=3, **more), 1)
     workers = [api.WorkerEntry(f"w{i}", cell=i // 2) for i in range(4)]
     module.handle(now, [api.WorkerList(api.LIST_FULL, workers)])
-    return [action for i in range(20)
-            for action in module.handle(now + i, [api.JobArrived(f"j{i}", 0, now + i + 5000.0, ran_ago=ago,
-                                                                 ran_zone=0, ran_cell=cell)])
-            if isinstance(action, (api.Send, api.Fail, api.Refuse))]
+    return [
+        action
+        for i in range(20)
+        for action in module.handle(
+            now + i,
+            [api.JobArrived(f"j{i}", 0, now + i + 5000.0, ran_ago=ago, ran_zone=0, ran_cell=cell)],
+        )
+        if isinstance(action, (api.Send, api.Fail, api.Refuse))
+    ]
 
 
 def test_the_module_decides_on_a_repeat_by_what_an_earlier_run_sent():
     assert {type(action) for action in decided(api.UNSAFE, 10.0)} == {api.Fail}
-    assert {type(action) for action in decided(api.KEYED, 7000.0)} == {api.Fail}  # nearly past its window
+    assert {type(action) for action in decided(api.KEYED, 7000.0)} == {
+        api.Fail
+    }  # nearly past its window
     assert {type(action) for action in decided(api.KEYED, LONG_AGO, now=1e13)} == {api.Fail}
     for cell, rack in ((0, {"w0", "w1"}), (1, {"w2", "w3"}), (9, set())):
         actions = decided(api.KEYED, 3000.0, cell)
@@ -317,14 +377,21 @@
         assert sent <= rack and bool(sent) == bool(rack)
         # Refusing would say that it never ran: nobody may say that of a job that may have.
         assert api.Refuse not in map(type, actions)
-    assert {action.worker for action in decided(api.KEYED, -1.0) if type(action) is api.Send} & {"w0", "w1"}
+    assert {action.worker for action in decided(api.KEYED, -1.0) if type(action) is api.Send} & {
+        "w0",
+        "w1",
+    }
 
 
 def test_how_long_ago_is_never_taken_for_too_short():
     then = Clocks(1_000_000.0, 500.0, "a")
     assert age(then, Clocks(0.0, 3500.0, "a")) == 3000.0  # one boot: whatever the wall clock says
     assert age(then, Clocks(1_004_000.0, 10.0, "b")) == 4000.0
-    assert age(then, Clocks(999_000.0, 10.0, "b")) == age(then, Clocks(999_000.0, 600.0, "")) == LONG_AGO
+    assert (
+        age(then, Clocks(999_000.0, 10.0, "b"))
+        == age(then, Clocks(999_000.0, 600.0, ""))
+        == LONG_AGO
+    )
     now = Clocks(1_004_000.0, 4500.0, "a")
 
     def sent(cell=0, steady=500.0, boot="a"):
@@ -332,7 +399,11 @@
 
     assert Sent.decode(sent().encode()) == sent()
     assert believed([sent()], now, 7500.0).ago == 4000.0
-    assert believed([sent(steady=2000.0), sent()], now, 7500.0).ago == 4000.0  # the first one counts
-    assert believed([sent(), sent(cell=1)], now, 7500.0).ago == LONG_AGO  # two racks: neither knows of both
+    assert (
+        believed([sent(steady=2000.0), sent()], now, 7500.0).ago == 4000.0
+    )  # the first one counts
+    assert (
+        believed([sent(), sent(cell=1)], now, 7500.0).ago == LONG_AGO
+    )  # two racks: neither knows of both
     assert believed([sent()], now, 3000.0) is None
     assert believed([sent(boot="b")], Clocks(0.0, 0.0, "a"), 7500.0).ago == LONG_AGO
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -40,11 +40,17 @@
 
 def test_many_writers_share_syncs_and_lose_nothing(tmp_path):
     with Store(tmp_path, segment_size=20_000, rules=RULES, reserve=0, compaction_rate=0) as store:
-        threads = [threading.Thread(target=lambda n=n: [store.put(b"%d/%d" % (n, i % 10), b"%d" % i)
-                                                        for i in range(60)]) for n in range(16)]
+        threads = [
+            threading.Thread(
+                target=lambda n=n: [store.put(b"%d/%d" % (n, i % 10), b"%d" % i) for i in range(60)]
+            )
+            for n in range(16)
+        ]
         for thread in threads:
             thread.start()
-        while any(thread.is_alive() for thread in threads):  # readers beside them see only what was written
+        while any(
+            thread.is_alive() for thread in threads
+        ):  # readers beside them see only what was written
             for _, value in store.scan():
                 assert 0 <= int(value) < 60
         for thread in threads:
@@ -118,8 +124,12 @@
 
 
 def test_bounds_of_keys_values_and_batches():
-    for bad in (lambda: Batch().put(b"", b""), lambda: Batch().put(b"k" * 4097, b""),
-                lambda: Batch().put(b"k", bytes(16 * 2**20 + 1)), lambda: Batch().put(b"k", b"", 2**63)):
+    for bad in (
+        lambda: Batch().put(b"", b""),
+        lambda: Batch().put(b"k" * 4097, b""),
+        lambda: Batch().put(b"k", bytes(16 * 2**20 + 1)),
+        lambda: Batch().put(b"k", b"", 2**63),
+    ):
         with pytest.raises(StoreError):
             bad()
     batch = Batch()
@@ -135,8 +145,12 @@
     code = f"from yewrill.store import Store\ntry: Store({str(tmp_path)!r})\nexcept Exception as e: print(e)"
     with Store(tmp_path):
         import os
+
         said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout
-        assert said.startswith(f"{tmp_path}: held by process {os.getpid()} on ") and said.count("\n") == 1
+        assert (
+            said.startswith(f"{tmp_path}: held by process {os.getpid()} on ")
+            and said.count("\n") == 1
+        )
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == ""
 
 
@@ -185,7 +199,9 @@
         spent += 100
     assert 19_000 <= spent <= 21_000
     assert Pacer(0, 0).spend(10**9, 1.0) == 0.0
-    assert sync_due("always", True, 5.0, 5.0, 1.0) == 0.0 and sync_due("never", True, 0, 9, 1) is None
+    assert (
+        sync_due("always", True, 5.0, 5.0, 1.0) == 0.0 and sync_due("never", True, 0, 9, 1) is None
+    )
     assert sync_due("interval", True, 5.0, 5.4, 1.0) == pytest.approx(0.6)
     assert sync_due("interval", False, 5.0, 5.4, 1.0) is None
     assert policy.Rules().tier(1) == 0 < policy.Rules().tier(10**6) < policy.Rules().tier(10**9)
@@ -206,11 +222,18 @@
         store.put(b"\xff\x00", b"\x01")
         store.delete(b"k00")
     figures = ujson.loads(run("stat", path, "--json").stdout)
-    assert figures["keys"] == 50 and figures["findings"] == [] and "keys" in run("stat", path).stdout
-    assert run("get", path, "k07").stdout == "value 7" and run("get", path, "ff00", "--hex").stdout == "\x01"
+    assert (
+        figures["keys"] == 50 and figures["findings"] == [] and "keys" in run("stat", path).stdout
+    )
+    assert (
+        run("get", path, "k07").stdout == "value 7"
+        and run("get", path, "ff00", "--hex").stdout == "\x01"
+    )
     assert ujson.loads(run("get", path, "k07", "--json").stdout)["expires"] == 2**50
     assert run("get", path, "nothing").exit_code == 1
-    assert run("scan", path, "--prefix", "k0", "--limit", "2").stdout == "k01\tvalue 1\nk02\tvalue 2\n"
+    assert (
+        run("scan", path, "--prefix", "k0", "--limit", "2").stdout == "k01\tvalue 1\nk02\tvalue 2\n"
+    )
     assert run("scan", path, "--keys").stdout.splitlines()[-1] == "0xff00"
     assert run("verify", path).exit_code == 0
     assert run("compact", path).exit_code == 0
@@ -233,14 +256,14 @@
         for i in range(20):
             store.put(b"k%02d" % i, b"value %d" % i)
     for pattern, what in (("*.seg", "damage"), ("*.hint", "hint"), ("MANIFEST", "manifest")):
-        file, = tmp_path.glob(pattern)
+        (file,) = tmp_path.glob(pattern)
         sound = file.read_bytes()
         flipped = bytearray(sound)
         flipped[len(flipped) // 2] ^= 4
         file.write_bytes(flipped)
         before = sorted((p.name, p.read_bytes()) for p in tmp_path.iterdir())
         told = run("verify", tmp_path, "--json")
-        finding, = ujson.loads(told.stdout)["findings"]
+        (finding,) = ujson.loads(told.stdout)["findings"]
         assert told.exit_code == 1 and (finding["what"], finding["file"]) == (what, file.name)
         if what == "damage":
             assert finding["start"] <= len(flipped) // 2 < finding["end"]
--- a/tests/test_store_crash.py
+++ b/tests/test_store_crash.py
@@ -61,7 +61,7 @@
         e.commit([batch], 0)
         model.data = model.after(batch)
         marks.append((e._active.size, model.seen(model.data, 0)))
-    (name, data), = ((n, d) for n, d in disk.dump().items() if n.endswith(".seg"))
+    ((name, data),) = ((n, d) for n, d in disk.dump().items() if n.endswith(".seg"))
     at = 0
     for cut in range(marks[0][0], len(data)):
         while at + 1 < len(marks) and marks[at + 1][0] <= cut:
@@ -69,7 +69,9 @@
         seen = open_directory(SimulatedDisk.of({**disk.dump(), name: data[:cut]}))
         assert seen.next_seq > 0 and len(seen.index) == len(marks[at][1]), cut
         if cut % 7 == 0:
-            assert reopened(SimulatedDisk.of({**disk.dump(), name: data[:cut]})) == marks[at][1], cut
+            assert reopened(SimulatedDisk.of({**disk.dump(), name: data[:cut]})) == marks[at][1], (
+                cut
+            )
 
 
 @pytest.mark.parametrize("moment", range(3))
@@ -91,10 +93,10 @@
             e = engine(disk, 5)
             assert contents(e, now) == state_of(left, now), (name, at)
             if name in left and at >= parts[name][0][0] and len(left[name]) < len(parts[name]):
-                finding, = (f for f in e.findings if f.what in ("damage", "torn"))
+                (finding,) = (f for f in e.findings if f.what in ("damage", "torn"))
                 assert finding.file == name and finding.start <= at < finding.end
                 kept = disk.dump()[f"{QUARANTINE}{name}.{finding.start}-{finding.end}"]
-                assert kept == bytes(flipped[finding.start:finding.end])
+                assert kept == bytes(flipped[finding.start : finding.end])
 
 
 def test_a_flip_behind_a_hint_is_told_by_the_reader_and_by_compaction():
@@ -103,7 +105,7 @@
     for i in range(20):
         e.commit([Batch().put(b"k%02d" % i, b"value %d" % i)], 0)
     e.close()
-    name, = (n for n in disk.dump() if n.endswith(".seg"))
+    (name,) = (n for n in disk.dump() if n.endswith(".seg"))
     data = bytearray(disk.dump()[name])
     data[data.index(b"value 7")] ^= 1
     disk = SimulatedDisk.of({**disk.dump(), name: bytes(data)})
@@ -140,7 +142,12 @@
         assert isinstance(e.commit([batch], now)[0], int)
         acknowledged = model.data = under_way
         if now % 40 == 39:
-            compacted(e, now, everything=now % 80 == 39, some=random.Random(now) if now % 120 == 39 else None)
+            compacted(
+                e,
+                now,
+                everything=now % 80 == 39,
+                some=random.Random(now) if now % 120 == 39 else None,
+            )
             for _ in e.write_hints():
                 pass
     assert e.compactions >= 2
@@ -177,7 +184,7 @@
     disk = SimulatedDisk()
     e = engine(disk)
     e.commit([Batch().put(b"key", b"value")], 0)
-    name, = (n for n in disk.dump() if n.endswith(".seg"))
+    (name,) = (n for n in disk.dump() if n.endswith(".seg"))
     data = disk.dump()[name]
     seen = reopened(SimulatedDisk.of({**disk.dump(), name: data[:-1] + b"X"}))
     assert seen == {b"key": b"valuX"}
@@ -193,8 +200,9 @@
 def test_with_the_manifest_before_the_data_a_crash_loses_what_was_compacted(monkeypatch):
     # The output's data comes to disk whenever the system likes, after the manifest that names it.
     sync = _Handle.sync
-    monkeypatch.setattr(_Handle, "sync",
-                        lambda handle: handle._name.endswith(".seg.new") or sync(handle))
+    monkeypatch.setattr(
+        _Handle, "sync", lambda handle: handle._name.endswith(".seg.new") or sync(handle)
+    )
     with pytest.raises(AssertionError, match="call"):
         crash_everywhere()
 
@@ -207,10 +215,10 @@
     e = engine(disk)
     for i in range(3):
         e.commit([Batch().put(b"k%d" % i, b"v")], 0)
-    name, = (n for n in disk.dump() if n.endswith(".seg"))
+    (name,) = (n for n in disk.dump() if n.endswith(".seg"))
     data = bytearray(disk.dump()[name])
     second = frames(name, bytes(data))[1][0]
-    data[second + 4:second + 8] = b"\xff\xff\xff\x7f"
+    data[second + 4 : second + 8] = b"\xff\xff\xff\x7f"
     e = engine(SimulatedDisk.of({**disk.dump(), name: bytes(data)}))
     assert contents(e) == {b"k0": b"v", b"k2": b"v"}
     assert e.findings[0].records == 1
@@ -222,7 +230,7 @@
     image = format.encode_frame([format.Op(format.PUT, b"forged", b"yes", 999)], 0, 0)
     e.commit([Batch().put(b"a", image * 3)], 0)
     e.commit([Batch().put(b"b", b"1")], 0)
-    name, = (n for n in disk.dump() if n.endswith(".seg"))
+    (name,) = (n for n in disk.dump() if n.endswith(".seg"))
     data = bytearray(disk.dump()[name])
     data[frames(name, bytes(data))[0][0]] ^= 1
     assert reopened(SimulatedDisk.of({**disk.dump(), name: bytes(data)})) == {b"b": b"1"}
@@ -249,7 +257,7 @@
     e.commit([Batch().put(b"a", b"1")], 0)
     tries = iter([SHORT, errno.EIO])
     disk.fail = lambda number, word, name: next(tries, None) if word == "write" else None
-    result, = e.commit([Batch().put(b"b", b"2" * 50).put(b"c", b"3")], 0)
+    (result,) = e.commit([Batch().put(b"b", b"2" * 50).put(b"c", b"3")], 0)
     assert isinstance(result, Exception)
     assert isinstance(e.commit([Batch().put(b"d", b"4")], 0)[0], int)
     assert contents(e) == reopened(disk.after_crash(random.Random(1))) == {b"a": b"1", b"d": b"4"}
@@ -299,7 +307,9 @@
         e = engine(disk, 2)
         first = disk.calls
         fault = random.Random(at).choice((errno.ENOSPC, errno.EIO))
-        disk.fail = lambda number, word, name, at=first + at, fault=fault: fault if number == at else None
+        disk.fail = lambda number, word, name, at=first + at, fault=fault: (
+            fault if number == at else None
+        )
         try:
             for _ in e.compact(e.choose(now, everything=True), now):
                 pass
--- a/tests/test_store_model.py
+++ b/tests/test_store_model.py
@@ -28,7 +28,9 @@
         self.versions: dict[bytes, int] = {}
         self.snapshots: list[tuple] = []
         self.unsynced: list[dict] = []  # states that a crash may leave beside the present one
-        self.gone: set[bytes] = set()  # over when compaction met them: absent even if the clock is set back
+        self.gone: set[bytes] = (
+            set()
+        )  # over when compaction met them: absent even if the clock is set back
         self.engine = engine(self.disk, seed, segment_size=400, reserve=4096)
 
     def seen(self) -> dict[bytes, bytes]:
@@ -42,7 +44,7 @@
                 batch.delete(key)
             else:
                 batch.put(key, value, self.now + life if life else 0)
-        version, = self.engine.commit([batch], self.now)
+        (version,) = self.engine.commit([batch], self.now)
         self.took(batch, version)
 
     def took(self, batch, version):
@@ -79,7 +81,9 @@
         for key in before:
             if self.engine._index.get(key) is None:
                 self.gone.add(key)
-        while everything and len(self.engine.sealed()) > 1 and compacted(self.engine, self.now, True):
+        while (
+            everything and len(self.engine.sealed()) > 1 and compacted(self.engine, self.now, True)
+        ):
             pass
 
     @rule()
@@ -119,14 +123,27 @@
         assert [key for key, _ in snapshot.scan(reverse=True)] == sorted(held, reverse=True)
         assert all(snapshot.get(key).value == value for key, value in held.items())
 
-    @rule(prefix=st.sampled_from([b"", b"a", b"\xff", b"a\xff"]), ends=st.tuples(KEYS, KEYS | st.none()),
-          reverse=st.booleans())
+    @rule(
+        prefix=st.sampled_from([b"", b"a", b"\xff", b"a\xff"]),
+        ends=st.tuples(KEYS, KEYS | st.none()),
+        reverse=st.booleans(),
+    )
     def scan(self, prefix, ends, reverse):
         start, stop = ends
-        found = [key for key, _ in self.engine.scan(self.now, prefix=prefix, start=start, stop=stop,
-                                                    reverse=reverse)]
-        assert found == sorted((key for key in self.seen() if key.startswith(prefix) and key >= start
-                                and (stop is None or key < stop)), reverse=reverse)
+        found = [
+            key
+            for key, _ in self.engine.scan(
+                self.now, prefix=prefix, start=start, stop=stop, reverse=reverse
+            )
+        ]
+        assert found == sorted(
+            (
+                key
+                for key in self.seen()
+                if key.startswith(prefix) and key >= start and (stop is None or key < stop)
+            ),
+            reverse=reverse,
+        )
 
     @rule()
     def back_up(self):
@@ -143,6 +160,11 @@
         assert all(segment.live >= 0 for segment in self.engine.sealed())
 
 
-StoreMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=50, deadline=None,
-                                          derandomize=True, suppress_health_check=list(HealthCheck))
+StoreMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 test_store_machine = StoreMachine.TestCase
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -61,7 +61,9 @@
 @given(matches(r"(?P<count>\d+) dispatchers that start without " + WHO + r", (a|no) founder"))
 def a_start(fleet, count, who):
     one = Fleet(int(count), formed=False)
-    assert set(names(who)) & set(one.net.founders) == (set(names(who)) if names(who)[0] < "m0003" else set())
+    assert set(names(who)) & set(one.net.founders) == (
+        set(names(who)) if names(who)[0] < "m0003" else set()
+    )
     one.net.kill(*names(who))
     fleet.append(one)
 
@@ -98,7 +100,12 @@
         fleet[0].net.pause(name, float(span))
 
 
-@when(matches(WHO + r" stop for (?P<stop>[\d.]+) seconds in every (?P<every>\d+) for (?P<span>\d+) seconds"))
+@when(
+    matches(
+        WHO
+        + r" stop for (?P<stop>[\d.]+) seconds in every (?P<every>\d+) for (?P<span>\d+) seconds"
+    )
+)
 def cycle(fleet, who, stop, every, span):
     net = fleet[0].net
     net.cycle(names(who), float(every) - float(stop), float(stop), net.now + float(span))
@@ -180,7 +187,9 @@
 @then(matches(r"(within (?P<most>\d+) seconds )?" + WHO + r" (is|are) in no view"))
 def in_none(fleet, most, who):
     one = fleet[0]
-    assert one.net.until(lambda: not any(map(one.view, names(who))), float(most or 0), 0.1) is not None
+    assert (
+        one.net.until(lambda: not any(map(one.view, names(who))), float(most or 0), 0.1) is not None
+    )
 
 
 @then(matches(WHO + r" (is|are) in a view"))
@@ -232,4 +241,6 @@
 @then("each return took longer than the one before")
 def longer(fleet):
     returns = fleet[0].returns
-    assert None not in returns and all(b > a + 0.5 for a, b in zip(returns, returns[1:], strict=False))
+    assert None not in returns and all(
+        b > a + 0.5 for a, b in zip(returns, returns[1:], strict=False)
+    )
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -84,28 +84,46 @@
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
-@given(parent=st.text(max_size=80) | st.from_regex(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}.?",
-                                                   fullmatch=True),
-       state=st.text(max_size=600) | st.from_regex(r"([a-z0-9@=:;, ]{1,40},){0,40}", fullmatch=True))
+@given(
+    parent=st.text(max_size=80)
+    | st.from_regex(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}.?", fullmatch=True),
+    state=st.text(max_size=600) | st.from_regex(r"([a-z0-9@=:;, ]{1,40},){0,40}", fullmatch=True),
+)
 def test_headers_of_any_kind_are_read_or_left_and_what_goes_on_is_well_formed(parent, state):
     found = context.read(parent, state)
     if found is not None:
         assert 0 <= found.random < 1 << 56 and int(found.trace, 16) and int(found.parent, 16)
-        again = context.read(context.parent_header(found.trace, SPAN, True), context.state_header(found, "c"))
-        assert again.trace == found.trace and again.threshold == "c" and again.random == found.random
+        again = context.read(
+            context.parent_header(found.trace, SPAN, True), context.state_header(found, "c")
+        )
+        assert (
+            again.trace == found.trace and again.threshold == "c" and again.random == found.random
+        )
         assert len(context.state_header(found, "c")) <= 512
 
 
 def test_the_standards_own_examples():
     parent = f"00-{TRACE}-{SPAN}-01"
-    found = context.read(parent, "rojo=00f067aa0ba902b7,ot=th:c;rv:12345678901234,congo=t61rcWkgMzE")
+    found = context.read(
+        parent, "rojo=00f067aa0ba902b7,ot=th:c;rv:12345678901234,congo=t61rcWkgMzE"
+    )
     assert (found.trace, found.parent, found.sampled) == (TRACE, SPAN, True)
     assert found.threshold == "c" and found.random == 0x12345678901234
-    assert context.state_header(found, "fd70a") == \
-        "ot=th:fd70a;rv:12345678901234,rojo=00f067aa0ba902b7,congo=t61rcWkgMzE"
+    assert (
+        context.state_header(found, "fd70a")
+        == "ot=th:fd70a;rv:12345678901234,rojo=00f067aa0ba902b7,congo=t61rcWkgMzE"
+    )
     assert context.read(f"cc-{TRACE}-{SPAN}-01-what-comes-later", None).trace == TRACE
-    for bad in (None, "", parent.upper(), parent + "-x", f"ff-{TRACE}-{SPAN}-01", f"00-{'0' * 32}-{SPAN}-01",
-                f"00-{TRACE}-{'0' * 16}-01", parent[:-1]):
+    for bad in (
+        None,
+        "",
+        parent.upper(),
+        parent + "-x",
+        f"ff-{TRACE}-{SPAN}-01",
+        f"00-{'0' * 32}-{SPAN}-01",
+        f"00-{TRACE}-{'0' * 16}-01",
+        parent[:-1],
+    ):
         assert context.read(bad, None) is None
     for bad in ("a=1,a=2", "A=1", "a", ",".join(f"k{i}=1" for i in range(33))):
         assert context.read(parent, bad).state == ()
@@ -127,20 +145,42 @@
         queue.put(i, bad)
     assert queue.dropped == {"ordinary_full": 2, "bad_full": 1} and queue.take(9) == [3, 4, 5]
     allowance = sampling.Allowance(2.0)
-    assert [allowance.take(t) for t in (1.0, 1.0, 1.0, 1.5, 1.6)] == [True, True, False, True, False]
+    assert [allowance.take(t) for t in (1.0, 1.0, 1.0, 1.5, 1.6)] == [
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
     assert not sampling.Allowance(0.0).take(9.0)
     assert sampling.late(501, 100, 100, 4) and not sampling.late(499, 100, 100, 4)
     assert not sampling.late(900, None, 100, 2.5) and sampling.late(900, None, 100, 0.5)
 
 
 MARK = st.integers(0, 10**12)
-ATTEMPT = st.fixed_dictionaries({"begin": MARK, "end": MARK, "written": MARK, "started": MARK,
-                                 "ending": st.sampled_from(["served", "reset", "timed out"])})
+ATTEMPT = st.fixed_dictionaries(
+    {
+        "begin": MARK,
+        "end": MARK,
+        "written": MARK,
+        "started": MARK,
+        "ending": st.sampled_from(["served", "reset", "timed out"]),
+    }
+)
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(st.fixed_dictionaries({"start": MARK, "taken": MARK, "decided": MARK, "end": MARK,
-                              "attempts": st.lists(ATTEMPT, max_size=4)}))
+@given(
+    st.fixed_dictionaries(
+        {
+            "start": MARK,
+            "taken": MARK,
+            "decided": MARK,
+            "end": MARK,
+            "attempts": st.lists(ATTEMPT, max_size=4),
+        }
+    )
+)
 def test_the_parts_add_up_to_the_whole_whatever_the_marks(record):
     record["end"] = max(record["start"], record["end"])
     found = breakdown.parts(record)
@@ -172,8 +212,17 @@
 
 
 def finished(t: Tracer, id: str, answer: str = "failed", parent=None):
-    trace = t.begin(id, "tour", "acme", aim=100.0, stretch=2.0, deadline=1000.0, parent=parent, state=None,
-                    first_byte=99.0)
+    trace = t.begin(
+        id,
+        "tour",
+        "acme",
+        aim=100.0,
+        stretch=2.0,
+        deadline=1000.0,
+        parent=parent,
+        state=None,
+        first_byte=99.0,
+    )
     attempt = trace.chosen(0, "d1", 3, "no room", 99.5)
     attempt.end, attempt.ending = 99.8, "served" if answer == "served" else "reset"
     trace.decide(99.9, answer, "out of tries")
@@ -189,8 +238,9 @@
         await trio.sleep(0.002)
 
 
-@pytest.mark.parametrize("script", [(), (429, 503, 502, 504), ("reset", "cut", "silent"),
-                                    ("reset", 503, "reset")])
+@pytest.mark.parametrize(
+    "script", [(), (429, 503, 502, 504), ("reset", "cut", "silent"), ("reset", 503, "reset")]
+)
 @story
 async def test_a_collector_in_trouble_gets_each_span_once_in_the_end(script, monkeypatch):
     monkeypatch.setattr(export, "GATHER", 0.001)
@@ -229,7 +279,9 @@
 
 
 @story
-async def test_an_outage_longer_than_the_queue_drops_ordinary_ones_first_and_says_how_many(tmp_path):
+async def test_an_outage_longer_than_the_queue_drops_ordinary_ones_first_and_says_how_many(
+    tmp_path,
+):
     t = tracer(share=1.0, queue=10)
     exporter = Exporter(t, Target(file=str(tmp_path / "no" / "t.jsonl")), {}, "0")
     (tmp_path / "no").write_text("a file where a directory should be")
@@ -253,12 +305,15 @@
         return kept.pop(key, None) is not None
 
     def spool(**more):
-        return StoreSpool(put, lambda prefix: min(kept.items(), default=None), drop,
-                          **{"most": 10**6, **more})
+        return StoreSpool(
+            put, lambda prefix: min(kept.items(), default=None), drop, **{"most": 10**6, **more}
+        )
 
     t = tracer()
     async with trio.open_nursery() as nursery:
-        gone = Exporter(t, Target(url="http://127.0.0.1:9/v1/traces", rules=RULES), {}, "0", spool=spool())
+        gone = Exporter(
+            t, Target(url="http://127.0.0.1:9/v1/traces", rules=RULES), {}, "0", spool=spool()
+        )
         for i in range(5):
             finished(t, f"first{i}")
         await drained(gone, t, nursery, until=lambda: gone.counts["spooled"] == 5)
@@ -270,14 +325,29 @@
     t = tracer()
     async with trio.open_nursery() as nursery:
         collector = Collector(503)
-        exporter = Exporter(t, Target(url=await collector.serve(nursery), rules=RULES), {}, "0",
-                            spool=spool(number=len(kept)))
+        exporter = Exporter(
+            t,
+            Target(url=await collector.serve(nursery), rules=RULES),
+            {},
+            "0",
+            spool=spool(number=len(kept)),
+        )
         finished(t, "third")
-        await drained(exporter, t, nursery, until=lambda: not kept and exporter.counts["exported"] > before)
+        await drained(
+            exporter, t, nursery, until=lambda: not kept and exporter.counts["exported"] > before
+        )
         nursery.cancel_scope.cancel()
-    ids = [v.value.string_value for s in collector.spans for v in s.attributes
-           if v.key == "yewrill.operation.id"]
-    assert ids[0].startswith("first") and ids[-1] == "third" and len(ids) == len(set(ids)) == before + 1
+    ids = [
+        v.value.string_value
+        for s in collector.spans
+        for v in s.attributes
+        if v.key == "yewrill.operation.id"
+    ]
+    assert (
+        ids[0].startswith("first")
+        and ids[-1] == "third"
+        and len(ids) == len(set(ids)) == before + 1
+    )
     assert not await spool(most=10).put(b"x" * 11)  # its bound
 
 
@@ -285,11 +355,17 @@
 
 
 def reads(path) -> dict[str, dict]:
-    return {r["id"]: r for r in map(ujson.loads, path.read_text().splitlines())} if path.exists() else {}
+    return (
+        {r["id"]: r for r in map(ujson.loads, path.read_text().splitlines())}
+        if path.exists()
+        else {}
+    )
 
 
 @story
-async def test_at_one_percent_every_bad_operation_is_there_whole_and_with_its_cause(tmp_path, monkeypatch):
+async def test_at_one_percent_every_bad_operation_is_there_whole_and_with_its_cause(
+    tmp_path, monkeypatch
+):
     monkeypatch.setattr(export, "GATHER", 0.001)
     path, seen = tmp_path / "t.jsonl", {}
 
@@ -306,7 +382,9 @@
             x.reset()
         elif x.id.startswith("fail"):
             await x.say("failed")
-        elif x.id.startswith(("gone", "vanish", "quit")) and not (x.id.startswith("quit") and first):
+        elif x.id.startswith(("gone", "vanish", "quit")) and not (
+            x.id.startswith("quit") and first
+        ):
             await x.closed()
         elif x.id.startswith("quit"):
             await x.status(503, "X-Not-Processed: 1")
@@ -314,11 +392,19 @@
             await x.done()
 
     tracing = {"tracing": {"file": str(path), "share": 0.01, "honoured": 2}}
-    classes = [{"name": "tour", "aim": 200.0, "deadline": 3000.0, "repeat": "pure", "value": 1.0},
-               {"name": "once", "aim": 200.0, "deadline": 3000.0, "repeat": "side_effect", "value": 1.0}]
+    classes = [
+        {"name": "tour", "aim": 200.0, "deadline": 3000.0, "repeat": "pure", "value": 1.0},
+        {"name": "once", "aim": 200.0, "deadline": 3000.0, "repeat": "side_effect", "value": 1.0},
+    ]
     statuses: dict[str, int | None] = {}
-    async with world(Peer("d1", script), Peer("d2", script), settings={"request_classes": classes}, **tracing,
-                     **MGMT) as w:
+    async with world(
+        Peer("d1", script),
+        Peer("d2", script),
+        settings={"request_classes": classes},
+        **tracing,
+        **MGMT,
+    ) as w:
+
         async def ask(id, **headers):
             target = "/once" if id.startswith("fail") else "/tour"
             statuses[id] = None
@@ -328,7 +414,9 @@
         def expected(id) -> set[str]:
             causes = {{503: "refused", 502: "failed", None: "left"}.get(statuses[id])}
             causes |= {"retried"} if len(seen.get(id, ())) > 1 else set()
-            return (causes | {"late"} if id.startswith("late") and statuses[id] == 200 else causes) - {None}
+            return (
+                causes | {"late"} if id.startswith("late") and statuses[id] == 200 else causes
+            ) - {None}
 
         for i in range(400):
             await ask(f"plain{i}")
@@ -374,16 +462,25 @@
     gone = next(r for k, r in found.items() if k.startswith("gone") and r["attempts"])
     assert gone["answer"] == "left" and "client-left" in [event["name"] for event in gone["events"]]
     # An attempt outlives its answer: it ends where it is seen to end, not where the client went.
-    assert gone["attempts"][0]["end"] > gone["decided"] and gone["attempts"][0]["ending"] != "served"
+    assert (
+        gone["attempts"][0]["end"] > gone["decided"] and gone["attempts"][0]["ending"] != "served"
+    )
     run = CliRunner()
     # Its profiler vanished without a word: the span ends when it is given up, with what is known.
     vanished = [r for k, r in found.items() if k.startswith("vanish") and r["attempts"]]
     assert vanished
     for last in (r["attempts"][-1] for r in vanished):
-        assert last["ending"] == "timed out" and last["end"] - last["written"] > 100e6 and not last["started"]
+        assert (
+            last["ending"] == "timed out"
+            and last["end"] - last["written"] > 100e6
+            and not last["started"]
+        )
     # Its client gave up in the middle of a retry, pending or under way.
-    assert any(r["answer"] == "left" and r["attempts"][0]["ending"] == "turned away"
-               for k, r in found.items() if k.startswith("quit") and r["attempts"])
+    assert any(
+        r["answer"] == "left" and r["attempts"][0]["ending"] == "turned away"
+        for k, r in found.items()
+        if k.startswith("quit") and r["attempts"]
+    )
     listed = run.invoke(main, ["trace", "list", str(path), "--cause", "late"]).stdout
     assert len(listed.splitlines()) == len(late)
     assert "lost" in run.invoke(main, ["trace", "show", retried["id"], str(path)]).stdout
@@ -427,7 +524,9 @@
 
 
 @story
-async def test_a_wall_clock_set_back_bends_no_duration_and_a_reload_changes_the_share(tmp_path, monkeypatch):
+async def test_a_wall_clock_set_back_bends_no_duration_and_a_reload_changes_the_share(
+    tmp_path, monkeypatch
+):
     monkeypatch.setattr(export, "GATHER", 0.001)
     path = tmp_path / "t.jsonl"
 
@@ -455,26 +554,49 @@
     assert t.counts["kept_ordinary"] == 5 and t.open == 0 and len(t.queue) == 5
 
 
-@pytest.mark.parametrize("given, key", [({}, "tracing"), ({"file": "x", "share": 2}, "tracing.share"),
-                                        ({"collector": "https://x"}, "tracing.collector"),
-                                        ({"file": "x", "spool_mb": 1}, "tracing.spool_mb"),
-                                        ({"file": "x", "odd": 1}, "tracing.odd")])
+@pytest.mark.parametrize(
+    "given, key",
+    [
+        ({}, "tracing"),
+        ({"file": "x", "share": 2}, "tracing.share"),
+        ({"collector": "https://x"}, "tracing.collector"),
+        ({"file": "x", "spool_mb": 1}, "tracing.spool_mb"),
+        ({"file": "x", "odd": 1}, "tracing.odd"),
+    ],
+)
 def test_faulty_tracing_keys_are_named(given, key):
     with pytest.raises(ConfigError, match=f"^{key}: "):
-        read_config({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "tracing": given,
-                     "settings": {"request_classes": [{"name": "tour", "deadline": 1000.0}]}})
+        read_config(
+            {
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:9",
+                "tracing": given,
+                "settings": {"request_classes": [{"name": "tour", "deadline": 1000.0}]},
+            }
+        )
 
 
 def test_spans_link_each_try_to_the_one_before():
     t = tracer()
-    trace = t.begin("r", "tour", "acme", aim=1, stretch=1, deadline=9, parent=f"00-{TRACE}-{SPAN}-01",
-                    state=None, first_byte=99.0)
+    trace = t.begin(
+        "r",
+        "tour",
+        "acme",
+        aim=1,
+        stretch=1,
+        deadline=9,
+        parent=f"00-{TRACE}-{SPAN}-01",
+        state=None,
+        first_byte=99.0,
+    )
     for number, ending in enumerate(("reset", "served")):
         attempt = trace.chosen(number, f"d{number}", 2, "", 99.1 + number / 10)
         attempt.begin, attempt.end, attempt.ending = attempt.chosen, attempt.chosen + 0.05, ending
     trace.decide(99.9, "served")
     record = t.finish(trace)
-    sent = service.ExportTraceServiceRequest.FromString(otlp.request([record], {"service.name": "y"}, "1"))
+    sent = service.ExportTraceServiceRequest.FromString(
+        otlp.request([record], {"service.name": "y"}, "1")
+    )
     spans = {s.name + str(i): s for i, s in enumerate(sent.resource_spans[0].scope_spans[0].spans)}
     first, second = spans["attempt1"], spans["attempt2"]
     assert second.links[0].span_id == first.span_id
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -82,14 +82,16 @@
     assert view.places("new", 77) == after.edges(24)
 
 
-@given(st.sets(st.integers(0, 30)),
-       st.permutations([Entry(name, 5, ("h", 1)) for name in ("m0001", "x", "a", "b")]))
+@given(
+    st.sets(st.integers(0, 30)),
+    st.permutations([Entry(name, 5, ("h", 1)) for name in ("m0001", "x", "a", "b")]),
+)
 def test_a_change_gives_all_the_same_next_view(out, come):
     view = View(7, entries(24))
     after = view.after(value_of(out, come))
     stay = [e for rank, e in enumerate(view.entries) if rank not in out]
-    assert list(after.entries[:len(stay)]) == stay
-    new = [e.name for e in after.entries[len(stay):]]
+    assert list(after.entries[: len(stay)]) == stay
+    new = [e.name for e in after.entries[len(stay) :]]
     assert new == sorted(new) and len(set(after.names)) == len(after) and after.number == 8
     assert after.digest == View(7, entries(24)).after(value_of(out, come[::-1])).digest
 
@@ -107,12 +109,27 @@
     assert 5 < len(View(1, entries(3)).after(value)) < 20
 
 
-ENTRY = st.builds(Entry, st.text("ab", min_size=1, max_size=64), st.integers(0, 2**48),
-                  st.tuples(st.text("ab", min_size=1, max_size=64), st.integers(0, 65535)),
-                  st.text("z", max_size=9), st.lists(st.text("c", max_size=16), max_size=8).map(tuple))
-NUMBER, MILLIS, EIGHT = st.integers(0, 2**48), st.integers(-1, 3_600_000), st.binary(min_size=8, max_size=8)
-REGISTER = st.builds(Register, st.integers(0, 4095), st.integers(0, 2**40), st.integers(0, 255),
-                     st.lists(ENTRY, max_size=8).map(tuple), st.booleans())
+ENTRY = st.builds(
+    Entry,
+    st.text("ab", min_size=1, max_size=64),
+    st.integers(0, 2**48),
+    st.tuples(st.text("ab", min_size=1, max_size=64), st.integers(0, 65535)),
+    st.text("z", max_size=9),
+    st.lists(st.text("c", max_size=16), max_size=8).map(tuple),
+)
+NUMBER, MILLIS, EIGHT = (
+    st.integers(0, 2**48),
+    st.integers(-1, 3_600_000),
+    st.binary(min_size=8, max_size=8),
+)
+REGISTER = st.builds(
+    Register,
+    st.integers(0, 4095),
+    st.integers(0, 2**40),
+    st.integers(0, 255),
+    st.lists(ENTRY, max_size=8).map(tuple),
+    st.booleans(),
+)
 
 
 @st.composite
@@ -130,16 +147,51 @@
 
 
 MESSAGE = st.one_of(
-    st.builds(Beat, NUMBER, EIGHT, NUMBER, MILLIS, MILLIS, st.integers(0, 2**32 - 1),
-              rounds().map(lambda r: wire_round(r, 24)), st.lists(REGISTER, max_size=9).map(tuple),
-              words().map(lambda w: wire_word(w, 24)), st.none() | st.binary(max_size=700)),
-    st.builds(Call, ENTRY, NUMBER, MILLIS, MILLIS, NUMBER, st.tuples(NUMBER, st.binary(max_size=8)),
-              st.none() | st.builds(Kept, NUMBER, st.lists(st.text("n", min_size=1, max_size=64),
-                                                           max_size=99).map(tuple)), st.booleans()),
-    st.builds(Answer, NUMBER, EIGHT, MILLIS, st.text("w", max_size=64), st.none() | st.binary(max_size=700)),
+    st.builds(
+        Beat,
+        NUMBER,
+        EIGHT,
+        NUMBER,
+        MILLIS,
+        MILLIS,
+        st.integers(0, 2**32 - 1),
+        rounds().map(lambda r: wire_round(r, 24)),
+        st.lists(REGISTER, max_size=9).map(tuple),
+        words().map(lambda w: wire_word(w, 24)),
+        st.none() | st.binary(max_size=700),
+    ),
+    st.builds(
+        Call,
+        ENTRY,
+        NUMBER,
+        MILLIS,
+        MILLIS,
+        NUMBER,
+        st.tuples(NUMBER, st.binary(max_size=8)),
+        st.none()
+        | st.builds(
+            Kept, NUMBER, st.lists(st.text("n", min_size=1, max_size=64), max_size=99).map(tuple)
+        ),
+        st.booleans(),
+    ),
+    st.builds(
+        Answer,
+        NUMBER,
+        EIGHT,
+        MILLIS,
+        st.text("w", max_size=64),
+        st.none() | st.binary(max_size=700),
+    ),
     st.builds(Ask, NUMBER, st.integers(0, 409)),
-    st.builds(Page, NUMBER, EIGHT, st.integers(0, 409), st.integers(1, 409),
-              st.lists(ENTRY, min_size=1, max_size=10).map(tuple)))
+    st.builds(
+        Page,
+        NUMBER,
+        EIGHT,
+        st.integers(0, 409),
+        st.integers(1, 409),
+        st.lists(ENTRY, min_size=1, max_size=10).map(tuple),
+    ),
+)
 
 
 @settings(max_examples=150, deadline=None)
@@ -157,7 +209,7 @@
 def test_bytes_that_are_none_are_refused(message, at, byte):
     data = bytearray(b"".join(pack(message)))
     data[at % len(data)] = byte
-    for tried in (bytes(data), bytes(data[:at % len(data)]), bytes(data[1:])):
+    for tried in (bytes(data), bytes(data[: at % len(data)]), bytes(data[1:])):
         for take in (unpack, lambda b: Parts().take("m", b)):
             try:
                 take(tried)
@@ -254,7 +306,10 @@
     net = ViewNet(1, 12, founders=3, formed=False)
     net.kill("m0002")
     net.run(10.0)
-    assert not net.digests and net.nodes["m0000"].machine.standing(net.now) == "founding: waits for m0002"
+    assert (
+        not net.digests
+        and net.nodes["m0000"].machine.standing(net.now) == "founding: waits for m0002"
+    )
     assert net.nodes["m0005"].machine.standing(net.now) == "joining"
     net.restart("m0002")
     assert net.until(net.agreed, 30.0) is not None
@@ -263,7 +318,9 @@
 
 def test_a_founder_that_starts_again_in_the_midst_of_it():
     for seed in range(25):
-        net = ViewNet(seed, 5, founders=5, formed=False, path=Path(delay=0.02, jitter=0.02, loss=0.3))
+        net = ViewNet(
+            seed, 5, founders=5, formed=False, path=Path(delay=0.02, jitter=0.02, loss=0.3)
+        )
         for _ in range(2):  # at most two: of a view founded meanwhile, a majority must live
             net.run(0.2 + 0.5 * net.rng.random())
             name = net.rng.choice(NAMES[:5])
@@ -396,7 +453,9 @@
     net.run(0.2)
     assert machine.counts.late >= 1
     assert net.until(net.agreed, 20.0) is not None
-    assert machine.me.incarnation != before and highest(net) == 3  # it out, it in again, and nothing else
+    assert (
+        machine.me.incarnation != before and highest(net) == 3
+    )  # it out, it in again, and nothing else
     sound(net)
 
 
@@ -512,8 +571,12 @@
             net.pause(net.rng.choice(names), 4.0)
         else:
             few = net.rng.sample(names, net.rng.randrange(1, 6))
-            net.cut(few, [n for n in names if n not in few], both=what == 3,
-                    heal_after=net.rng.random() * 8.0)
+            net.cut(
+                few,
+                [n for n in names if n not in few],
+                both=what == 3,
+                heal_after=net.rng.random() * 8.0,
+            )
         net.run(net.rng.random() * 5.0)
     net.paths.clear()
     net.default = Path()
@@ -544,8 +607,16 @@
         call = Call(Entry(f"x{i}", i, ("10.1.1.1", 9)), 0, 250, -1, 0)
         machine.receive(0.1, call, f"x{i}", ("10.1.1.1", 9))
     assert len(machine._callers) == MOST_CALLERS
-    beat = Beat(4, view.digest, 2, 250, 0, 0,
-                wire_round(Round(3, 23, -1, 1 << 20, 1 << 20), 24), (Register(4000, 9, 1),))
+    beat = Beat(
+        4,
+        view.digest,
+        2,
+        250,
+        0,
+        0,
+        wire_round(Round(3, 23, -1, 1 << 20, 1 << 20), 24),
+        (Register(4000, 9, 1),),
+    )
     machine.receive(0.2, beat, "m0001", ("10.0.0.1", 2))
     assert machine.counts.refused == 1 and not machine._inside.registers
     machine.receive(0.3, Beat(2**40, b"higher!!", 2, 250, 0, 0), "m0001", ("10.0.0.1", 2))
@@ -571,7 +642,9 @@
 def test_registers_that_were_lost_are_told_again():
     one, other = inside_of(0), inside_of(1)
     for at in range(1, 5):  # nothing of it arrives
-        one.observe(float(at), (Entry("new", 9, ("h", 9)),) if at == 1 else one.registers[0].joiners)
+        one.observe(
+            float(at), (Entry("new", 9, ("h", 9)),) if at == 1 else one.registers[0].joiners
+        )
         one.beats(float(at))
     for at in range(5, 9):
         other.merge(float(at), one.beats(float(at))[0][1], one.edges[1])
@@ -601,7 +674,9 @@
     inside.look(inside.span + 1.0)
     word = inside.vote.word
     assert word.ballot == (1, rank) and not word.proposal
-    beat = Beat(4, inside.view.digest, 1, 0, 0, 0, None, (), wire_word(word._replace(promised=0b111), 3))
+    beat = Beat(
+        4, inside.view.digest, 1, 0, 0, 0, None, (), wire_word(word._replace(promised=0b111), 3)
+    )
     inside.merge(inside.span + (9.0 if late else 1.1), beat, None)
     assert bool(inside.vote.word.proposal) != late
 
--- a/tests/test_views_hook.py
+++ b/tests/test_views_hook.py
@@ -6,8 +6,12 @@
 from yewrill.config import ConfigError, read_config
 from yewrill.lab.cluster.audit import Terms, audit
 
-BASE = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS,
-        "members": {"listen": "127.0.0.1:0", "peers": ["127.0.0.1:7401"], "keys": ["ab" * 16]}}
+BASE = {
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "settings": SETTINGS,
+    "members": {"listen": "127.0.0.1:0", "peers": ["127.0.0.1:7401"], "keys": ["ab" * 16]},
+}
 SOUND = {"founders": ["a", "b", "c"], "dir": "views"}
 
 
@@ -17,12 +21,19 @@
     assert (views.founders, views.dir, views.can) == (("a", "b", "c"), "views", ("voter",))
 
 
-@pytest.mark.parametrize(("section", "key"), [
-    ({"dir": "x"}, "views.founders: missing"), ({**SOUND, "founders": []}, "views.founders: "),
-    ({**SOUND, "founders": ["a", "a"]}, "views.founders: the same name"),
-    ({**SOUND, "founders": ["a", 1]}, "views.founders[1]: "), ({**SOUND, "dir": ""}, "views.dir: "),
-    ({**SOUND, "founder": "a"}, "views.founder: no such key"), ([], "views: "),
-    ({**SOUND, "can": ["x" * 17]}, "views.can[0]: ")])
+@pytest.mark.parametrize(
+    ("section", "key"),
+    [
+        ({"dir": "x"}, "views.founders: missing"),
+        ({**SOUND, "founders": []}, "views.founders: "),
+        ({**SOUND, "founders": ["a", "a"]}, "views.founders: the same name"),
+        ({**SOUND, "founders": ["a", 1]}, "views.founders[1]: "),
+        ({**SOUND, "dir": ""}, "views.dir: "),
+        ({**SOUND, "founder": "a"}, "views.founder: no such key"),
+        ([], "views: "),
+        ({**SOUND, "can": ["x" * 17]}, "views.can[0]: "),
+    ],
+)
 def test_a_faulty_section_is_refused_and_the_key_named(section, key):
     with pytest.raises(ConfigError) as error:
         read_config({**BASE, "views": section})
@@ -31,7 +42,9 @@
 
 def test_views_need_members():
     with pytest.raises(ConfigError, match="^views: needs members"):
-        read_config({**{key: value for key, value in BASE.items() if key != "members"}, "views": SOUND})
+        read_config(
+            {**{key: value for key, value in BASE.items() if key != "members"}, "views": SOUND}
+        )
 
 
 def line(at, by, what, **more):
@@ -42,25 +55,72 @@
     return line(at, by, "view", number=number, names=list(names), digest=digest)
 
 
-LOST = [view(0, "a", 1, "abc"), view(0, "c", 1, "abc"), line(1, "c", "pause"), view(4, "a", 2, "ab")]
-
-
-@pytest.mark.parametrize(("history", "kinds"), [
-    ([view(0, "a", 1, "ab"), view(0, "b", 1, "ab"), view(1, "a", 2, "abc")], []),
-    ([view(0, "a", 1, "ab"), view(0, "b", 1, "ab", "y")], ["views-differ"]),
-    ([view(0, "a", 2, "ab"), line(1, "a", "kill"), line(2, "a", "start"), view(3, "a", 1, "ab")],
-     ["old-view"]),
-    ([*LOST, line(5, "c", "resume"), line(5.1, "c", "no-view"), line(20, "x", "tick")], []),
-    ([view(0, "a", 1, "abc"), view(0, "c", 1, "abc"), line(1, "c", "kill"), view(4, "a", 2, "ab"),
-      line(20, "x", "tick")], []),
-    ([view(0, "a", 1, "abc"), view(0, "c", 1, "abc"), line(1, "rig", "unwell", names=["c"]),
-      view(4, "a", 2, "ab"), line(20, "x", "tick"), line(21, "x", "tick")], ["both-sides"]),
-    ([view(0, "a", 1, "abc"), view(0, "c", 1, "abc"), view(4, "a", 2, "abcd"), view(5, "a", 3, "abcde"),
-      line(9, "x", "tick")], ["both-sides"]),
-    ([view(0, "a", 1, "abc"), view(1, "a", 2, "ab")], ["false-out"]),
-    ([view(0, "a", 1, "abc"), line(0.5, "rig", "unwell", names=["c"]), line(1, "rig", "healed"),
-      view(9, "a", 2, "ab")], []),
-    ([view(0, "a", 1, "abc"), line(0.5, "c", "kill"), view(90, "a", 2, "ab")], ["false-out"]),
-])
+LOST = [
+    view(0, "a", 1, "abc"),
+    view(0, "c", 1, "abc"),
+    line(1, "c", "pause"),
+    view(4, "a", 2, "ab"),
+]
+
+
+@pytest.mark.parametrize(
+    ("history", "kinds"),
+    [
+        ([view(0, "a", 1, "ab"), view(0, "b", 1, "ab"), view(1, "a", 2, "abc")], []),
+        ([view(0, "a", 1, "ab"), view(0, "b", 1, "ab", "y")], ["views-differ"]),
+        (
+            [
+                view(0, "a", 2, "ab"),
+                line(1, "a", "kill"),
+                line(2, "a", "start"),
+                view(3, "a", 1, "ab"),
+            ],
+            ["old-view"],
+        ),
+        ([*LOST, line(5, "c", "resume"), line(5.1, "c", "no-view"), line(20, "x", "tick")], []),
+        (
+            [
+                view(0, "a", 1, "abc"),
+                view(0, "c", 1, "abc"),
+                line(1, "c", "kill"),
+                view(4, "a", 2, "ab"),
+                line(20, "x", "tick"),
+            ],
+            [],
+        ),
+        (
+            [
+                view(0, "a", 1, "abc"),
+                view(0, "c", 1, "abc"),
+                line(1, "rig", "unwell", names=["c"]),
+                view(4, "a", 2, "ab"),
+                line(20, "x", "tick"),
+                line(21, "x", "tick"),
+            ],
+            ["both-sides"],
+        ),
+        (
+            [
+                view(0, "a", 1, "abc"),
+                view(0, "c", 1, "abc"),
+                view(4, "a", 2, "abcd"),
+                view(5, "a", 3, "abcde"),
+                line(9, "x", "tick"),
+            ],
+            ["both-sides"],
+        ),
+        ([view(0, "a", 1, "abc"), view(1, "a", 2, "ab")], ["false-out"]),
+        (
+            [
+                view(0, "a", 1, "abc"),
+                line(0.5, "rig", "unwell", names=["c"]),
+                line(1, "rig", "healed"),
+                view(9, "a", 2, "ab"),
+            ],
+            [],
+        ),
+        ([view(0, "a", 1, "abc"), line(0.5, "c", "kill"), view(90, "a", 2, "ab")], ["false-out"]),
+    ],
+)
 def test_the_auditor_finds_each_breach_of_views(history, kinds):
     assert [breach.kind for breach in audit(history, Terms())] == kinds
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,9 @@
 from yewrill.wire import WireError, decode_settings
 
 CONFIG = {
-    "request_classes": [{"name": "c", "aim": 500.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0}],
+    "request_classes": [
+        {"name": "c", "aim": 500.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0}
+    ],
     "limits": {"try_limit": 3},
     "a_new_key": [1, 2],
 }
@@ -24,8 +26,13 @@
 def boot(number=3):
     return [
         {"what": "Boot", "dispatcher_id": number, "entropy": 5, "config": CONFIG},
-        {"what": "Registry", "dispatcher_id": number, "revision": 1, "form": "cached",
-         "rows": [{"worker": "worker.a", "zone": 0, "machine": 0, "phase": "Running", "odd": 1}]},
+        {
+            "what": "Registry",
+            "dispatcher_id": number,
+            "revision": 1,
+            "form": "cached",
+            "rows": [{"worker": "worker.a", "zone": 0, "machine": 0, "phase": "Running", "odd": 1}],
+        },
     ]
 
 
@@ -37,26 +44,42 @@
 
 def test_a_job_is_assigned_and_every_reply_is_closed():
     tick, end = {"what": "Tick", "sim_time": 10.0}, {"what": "End"}
-    job = {"what": "Inbound", "dispatcher_id": 3, "ticket": "t-1", "tier_class": 0, "client_deadline": 5010.0}
+    job = {
+        "what": "Inbound",
+        "dispatcher_id": 3,
+        "ticket": "t-1",
+        "tier_class": 0,
+        "client_deadline": 5010.0,
+    }
     reply = run(lines(tick, end, tick, *boot(), job, end))
     assert reply[0] == end and reply[-1] == end
-    assert [(m["ticket"], m["worker"]) for m in reply if m["what"] == "Assign"] == [("t-1", "worker.a")]
+    assert [(m["ticket"], m["worker"]) for m in reply if m["what"] == "Assign"] == [
+        ("t-1", "worker.a")
+    ]
 
 
-@pytest.mark.parametrize("source, word", [
-    (b"not json\n", "line 1"),
-    (b'{"what":"Tick","sim_time":1}\n{"what":"Odd","dispatcher_id":1}\n{"what":"End"}\n', "Odd"),
-    (b'{"what":"Tick","sim_time":1}\n', "ended within a batch"),
-    (b'{"what":"End"}\n', "line 1"),
-    (b'{"what":"Tick","sim_time":1}\n{"what":"Elapsed"}\n{"what":"End"}\n', "line 3"),
-])
+@pytest.mark.parametrize(
+    "source, word",
+    [
+        (b"not json\n", "line 1"),
+        (
+            b'{"what":"Tick","sim_time":1}\n{"what":"Odd","dispatcher_id":1}\n{"what":"End"}\n',
+            "Odd",
+        ),
+        (b'{"what":"Tick","sim_time":1}\n', "ended within a batch"),
+        (b'{"what":"End"}\n', "line 1"),
+        (b'{"what":"Tick","sim_time":1}\n{"what":"Elapsed"}\n{"what":"End"}\n', "line 3"),
+    ],
+)
 def test_bad_input_is_one_plain_error(source, word):
     with pytest.raises(WireError, match=word):
         run(source)
 
 
 def test_bad_input_ends_the_process_with_one_message():
-    done = subprocess.run([sys.executable, "-m", "yewrill.benchlink"], input=b"[1\n", capture_output=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "yewrill.benchlink"], input=b"[1\n", capture_output=True
+    )
     assert done.returncode == 1 and done.stdout == b""
     assert done.stderr.startswith(b"yewrill: line 1:") and done.stderr.count(b"\n") == 1
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -19,21 +19,33 @@
 from yewrill.zones.plan import EPOCH, WHOLE, Entry, Plan, least_share, up
 
 ENTRY = st.builds(Entry, st.integers(0, WHOLE - 1), st.integers(1, 64), st.booleans())
-PLAN = st.builds(Plan, st.integers(1, 2**48), st.dictionaries(st.text("abz", min_size=1), ENTRY, max_size=5))
+PLAN = st.builds(
+    Plan, st.integers(1, 2**48), st.dictionaries(st.text("abz", min_size=1), ENTRY, max_size=5)
+)
 
 
 # ------------------------------------------------------------------------------------------ plan and guards
 
 
-COUNT = st.integers(0, MOST_COUNT).flatmap(lambda ended: st.tuples(st.just(ended), st.integers(0, ended)))
+COUNT = st.integers(0, MOST_COUNT).flatmap(
+    lambda ended: st.tuples(st.just(ended), st.integers(0, ended))
+)
 
 
-@given(PLAN, st.dictionaries(st.text(min_size=1, max_size=9), COUNT, max_size=64), st.binary(max_size=40))
+@given(
+    PLAN,
+    st.dictionaries(st.text(min_size=1, max_size=9), COUNT, max_size=64),
+    st.binary(max_size=40),
+)
 def test_what_is_said_comes_out_as_it_went_in_and_nothing_else_is_taken(plan, counts, noise):
     assert unpack(pack(Said(3, plan.version, plan=plan))).plan.version == plan.version
     told = Said(TELL, plan.version, 7, True, 2.5, counts, ("a",))
     assert unpack(pack(told)) == told
-    for data in (noise, pack(told)[:-1], pack(Said(3, (plan.number + 1, plan.version[1]), plan=plan))):
+    for data in (
+        noise,
+        pack(told)[:-1],
+        pack(Said(3, (plan.number + 1, plan.version[1]), plan=plan)),
+    ):
         with pytest.raises(Malformed):
             unpack(data)
 
@@ -47,7 +59,9 @@
     share = least_share(plan, zone, capacity, busy, most_out)
     others = sum(c * plan.share(z) / WHOLE for z, c in capacity.items() if z != zone)
     assert 0 <= share <= WHOLE
-    if share < WHOLE:  # then what goes out is carried by the others, and no more than the stated part is out
+    if (
+        share < WHOLE
+    ):  # then what goes out is carried by the others, and no more than the stated part is out
         assert busy - busy * capacity[zone] / total * share / WHOLE <= 0.95 * others + 0.001 * busy
         assert total - others - capacity[zone] * share / WHOLE <= most_out * total + 0.001 * total
 
@@ -86,7 +100,9 @@
 
 def never_back(net):
     """Versions of every member only rise, in the order in which they were taken."""
-    return all([c[1] for c in m.changes] == sorted(c[1] for c in m.changes) for m in net.members.values())
+    return all(
+        [c[1] for c in m.changes] == sorted(c[1] for c in m.changes) for m in net.members.values()
+    )
 
 
 @pytest.mark.parametrize(("members", "zones"), [(6, 2), (24, 3), (60, 8)])
@@ -100,7 +116,7 @@
     assert net.until(lambda: back(net, "z0"), 60) is not None
     assert never_back(net)
     steps = [shares.get("z0", 1.0) for _, _, shares in net.members["m0001"].changes]
-    assert steps[steps.index(0.0):] == [0.0, 0.05, 0.2, 0.5, 1.0] and net.now - began > 2
+    assert steps[steps.index(0.0) :] == [0.0, 0.05, 0.2, 0.5, 1.0] and net.now - began > 2
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -140,7 +156,9 @@
     net.run(20)
     honest = [m for m in net.living() if m.name != "m0001"]
     assert not any(m.machine.plan.zones for m in honest)
-    assert sum(m.machine.counted.polls for m in honest) < 20 * 2.6 * len(honest)  # nor are they kept busy
+    assert sum(m.machine.counted.polls for m in honest) < 20 * 2.6 * len(
+        honest
+    )  # nor are they kept busy
     net.loss["z0"] = 1.0
     net.run(6)
     assert all(m.machine.shares().get("z0", 1.0) < 0.1 for m in honest if m.zone != "z0")
@@ -171,11 +189,15 @@
     assert min(net.share("z2")) >= 0.9 or min(net.share("z0")) > 0.0
 
 
-@pytest.mark.parametrize(("regions", "doubts"), [
-    ({}, True), ({"z0": "alps", "z1": "sea", "z2": "sea"}, False),
-    ({"z0": "sea", "z1": "sea", "z2": "sea"}, True),
-    ({"z0": "alps", "z1": "sea", "z2": "plain"}, True),
-])
+@pytest.mark.parametrize(
+    ("regions", "doubts"),
+    [
+        ({}, True),
+        ({"z0": "alps", "z1": "sea", "z2": "sea"}, False),
+        ({"z0": "sea", "z1": "sea", "z2": "sea"}, True),
+        ({"z0": "alps", "z1": "sea", "z2": "plain"}, True),
+    ],
+)
 def test_who_loses_most_zones_doubts_itself_unless_they_are_just_another_region(regions, doubts):
     machine = Machine("a", "z0", list, random.Random(1), 0.0)
     machine.regions = lambda: regions
@@ -199,7 +221,9 @@
     for _ in range(40):
         net.run(0.5)
         out = [m.machine.shares() for m in net.living()]
-        assert all(sum(1 - shares.get(zone, 1.0) for zone in net.zones) <= 0.5 * 3 + 0.01 for shares in out)
+        assert all(
+            sum(1 - shares.get(zone, 1.0) for zone in net.zones) <= 0.5 * 3 + 0.01 for shares in out
+        )
 
 
 def test_a_failing_zone_keeps_what_the_others_at_nine_tenths_cannot_carry():
@@ -234,7 +258,9 @@
     before = max(m.machine.plan.number for m in net.living())
     assert before > 0
     woken = net.members["m0004"].machine
-    assert net.until(lambda: net.agreed() and woken.plan.number >= before, 6) is not None and never_back(net)
+    assert net.until(
+        lambda: net.agreed() and woken.plan.number >= before, 6
+    ) is not None and never_back(net)
 
 
 def test_a_clock_that_is_an_hour_ahead_changes_nothing():
@@ -253,9 +279,16 @@
     for i in range(24):
         net.at(net.now + 3.0 * i, lambda i=i: net.loss.update(z0=float(i % 2 == 0)))
     net.run(72)
-    leaves = max(sum(b.get("z0", 1.0) < 0.05 < a.get("z0", 1.0)  # not a trial that failed
-                     for (_, _, a), (_, _, b) in pairwise(m.changes)) for m in net.members.values())
-    strikes = max(m.machine.plan.zones["z0"].strikes for m in net.living() if "z0" in m.machine.plan.zones)
+    leaves = max(
+        sum(
+            b.get("z0", 1.0) < 0.05 < a.get("z0", 1.0)  # not a trial that failed
+            for (_, _, a), (_, _, b) in pairwise(m.changes)
+        )
+        for m in net.members.values()
+    )
+    strikes = max(
+        m.machine.plan.zones["z0"].strikes for m in net.living() if "z0" in m.machine.plan.zones
+    )
     assert strikes >= 3
     assert 1 <= leaves <= 6  # of the twelve failures
     assert never_back(net)
@@ -317,7 +350,9 @@
     assert [m.name for m in net.members.values() if m.machine.counted.made] == ["m0001"]
     late = Plan(EPOCH + 9, {"z2": Entry(0)})  # of grant 1
     for member in net.living():
-        member.machine.receive(net.now, pack(Said(3, late.version, plan=late)), "m0002", ("10.0.0.1", 1026))
+        member.machine.receive(
+            net.now, pack(Said(3, late.version, plan=late)), "m0002", ("10.0.0.1", 1026)
+        )
     assert not any(r.plan is late for m in net.living() for r in m.machine._pending.values())
 
 
@@ -338,9 +373,13 @@
         for action in module.handle(now, [api.JobArrived(f"j{i}", 0, now + 4000.0)]):
             if isinstance(action, api.Send):
                 counts[zone_of[action.worker]] = counts.get(zone_of[action.worker], 0) + 1
-                module.handle(now + 20.0, [
-                    api.AttemptStarted(action.job, 0, action.worker),
-                    api.AttemptEnded(action.job, 0, action.worker, api.SERVED, 20.0, True)])
+                module.handle(
+                    now + 20.0,
+                    [
+                        api.AttemptStarted(action.job, 0, action.worker),
+                        api.AttemptEnded(action.job, 0, action.worker, api.SERVED, 20.0, True),
+                    ],
+                )
     return counts
 
 
@@ -359,14 +398,23 @@
     assert decided({0: 0.0}, {"w0": 0, "w1": 0}) == {0: 200}
 
 
-ZONES = {"members": {"listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "keys": ["ab" * 16], "zone": "room"},
-         "zones": {}}
+ZONES = {
+    "members": {
+        "listen": "127.0.0.1:0",
+        "peers": ["127.0.0.1:9"],
+        "keys": ["ab" * 16],
+        "zone": "room",
+    },
+    "zones": {},
+}
 
 
 @story
 async def test_the_service_goes_by_the_operators_orders_and_counts_what_its_zones_do():
     peer = Peer("d1", done)
-    async with world(peer, settings={"areas": ["room", "hall"]}, mgmt="127.0.0.1:0", **ZONES) as here:
+    async with world(
+        peer, settings={"areas": ["room", "hall"]}, mgmt="127.0.0.1:0", **ZONES
+    ) as here:
         assert (await here.ask()).status == 200
         zones = here.service.hooks[1]
         shown = (await here.call("GET /_zones")).body
@@ -381,13 +429,25 @@
         assert zones.status()["zones"][0]["order"] == ""
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    ({"zones": {"holds": 1}}, "zones.holds"), ({"zones": {"most_out": 2}}, "zones.most_out"),
-    ({"members": None}, "zones: needs members"),
-    ({"members": {**ZONES["members"], "zone": ""}}, "members.zone"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"zones": {"holds": 1}}, "zones.holds"),
+        ({"zones": {"most_out": 2}}, "zones.most_out"),
+        ({"members": None}, "zones: needs members"),
+        ({"members": {**ZONES["members"], "zone": ""}}, "members.zone"),
+    ],
+)
 def test_a_faulty_key_of_the_plan_is_named(change, key):
-    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {
-        "areas": ["room"], "request_classes": [{"name": "a", "aim": 1, "deadline": 9.0}]}, **ZONES, **change}
+    raw = {
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "settings": {
+            "areas": ["room"],
+            "request_classes": [{"name": "a", "aim": 1, "deadline": 9.0}],
+        },
+        **ZONES,
+        **change,
+    }
     with pytest.raises(ConfigError, match=key):
         read_config(raw)
--- a/yewrill/__main__.py
+++ b/yewrill/__main__.py
@@ -29,8 +29,12 @@
     except ConfigError as error:
         print(f"yewrill: {error}", file=sys.stderr)
         return 2
-    return serve(config, os.environ.get("YEWRILL_LOG", "INFO"), lambda: load_config(path, os.environ),
-                 os.environ.get("YEWRILL_LOG_FORMAT", "plain"))
+    return serve(
+        config,
+        os.environ.get("YEWRILL_LOG", "INFO"),
+        lambda: load_config(path, os.environ),
+        os.environ.get("YEWRILL_LOG_FORMAT", "plain"),
+    )
 
 
 if __name__ == "__main__":
--- a/yewrill/calendar/book.py
+++ b/yewrill/calendar/book.py
@@ -48,7 +48,9 @@
     at: int
     next: int
     open: list[Booking]
-    answers: list[tuple[str, list[tuple[str, bytes]]]]  # of each tenant by id, in order of their coming
+    answers: list[
+        tuple[str, list[tuple[str, bytes]]]
+    ]  # of each tenant by id, in order of their coming
     closed: list[tuple[str, list[str]]]  # ids that may be forgotten, oldest first
 
 
@@ -67,10 +69,13 @@
     def restore(self, data: bytes) -> None:
         state = _read_state(data) if data else State(0, 1, [], [], [])
         self.at, self.next = state.at, state.next
-        self.lines = {(one.zone, one.kind): Timeline(max(0, one.slots - one.reserve - one.floor))
-                      for one in self.config.capacity}
-        self.workers = {(one.zone, one.kind): one.workers - one.reserve_workers
-                        for one in self.config.capacity}
+        self.lines = {
+            (one.zone, one.kind): Timeline(max(0, one.slots - one.reserve - one.floor))
+            for one in self.config.capacity
+        }
+        self.workers = {
+            (one.zone, one.kind): one.workers - one.reserve_workers for one in self.config.capacity
+        }
         self.open: SortedDict = SortedDict()  # number -> Booking
         self.due: SortedSet = SortedSet()  # (when a window ends or an offer runs out, number)
         self.used: dict[str, int] = {}  # tenant -> slot-ms that are booked and have not ended
@@ -82,10 +87,15 @@
         self.closed = {tenant: dict.fromkeys(ids) for tenant, ids in state.closed}
 
     def pack(self) -> bytes:
-        return asking.encode(State(
-            self.at, self.next, list(self.open.values()),
-            [(tenant, list(given.items())) for tenant, given in sorted(self.answers.items())],
-            [(tenant, list(ids)) for tenant, ids in sorted(self.closed.items())]))
+        return asking.encode(
+            State(
+                self.at,
+                self.next,
+                list(self.open.values()),
+                [(tenant, list(given.items())) for tenant, given in sorted(self.answers.items())],
+                [(tenant, list(ids)) for tenant, ids in sorted(self.closed.items())],
+            )
+        )
 
     def apply(self, at: int, data: bytes) -> bytes:
         """The result as bytes; whatever the entry is, what has ended or run out by `at` goes first."""
@@ -98,7 +108,9 @@
         if isinstance(entry, asking.Tick):
             return asking.encode(Done())
         if entry.tenant not in self.config.quotas:
-            return asking.encode(Refused("unknown", "The operators' file does not know this tenant."))
+            return asking.encode(
+                Refused("unknown", "The operators' file does not know this tenant.")
+            )
         answers = self.answers.setdefault(entry.tenant, {})
         if entry.id in answers:
             return answers[entry.id]
@@ -128,7 +140,9 @@
         if booking.until:
             self.held[tenant] = self.held.get(tenant, 0) + sign
         else:
-            self.used[tenant] = self.used.get(tenant, 0) + sign * _use(booking.slots, booking.windows)
+            self.used[tenant] = self.used.get(tenant, 0) + sign * _use(
+                booking.slots, booking.windows
+            )
         when = (booking.until or booking.windows[0].end, booking.number)
         (self.due.add if sign > 0 else self.due.discard)(when)
 
@@ -175,7 +189,9 @@
             first, last = max(low, windows[0].start), min(high, windows[0].end) - ask.length
             start = self._first(ask, first, last // MINUTE * MINUTE, ask.length)
             if start is None:
-                return Refused("full", "No window with so many slots left was found between these times.")
+                return Refused(
+                    "full", "No window with so many slots left was found between these times."
+                )
             windows = (Window(start, start + ask.length),)
         placed = []
         for window in windows:
@@ -185,7 +201,9 @@
                 return Refused("full", text, self._offers(ask) if len(windows) == 1 else ())
             placed.append(found)
         self.next += 1
-        booking = Booking(self.next - 1, ask.tenant, ask.id, ask.kind, ask.slots, windows, tuple(placed))
+        booking = Booking(
+            self.next - 1, ask.tenant, ask.id, ask.kind, ask.slots, windows, tuple(placed)
+        )
         self._put(booking)
         return Booked(booking.number, booking.windows, booking.placed)
 
@@ -199,19 +217,27 @@
                 return Refused("bad-window", "Windows are full minutes, one after another.")
             last = one.end
         if not windows or ask.length % MINUTE or ask.length and len(windows) > 1:
-            return Refused("bad-window", "This needs windows, or a length of full minutes in just one.")
+            return Refused(
+                "bad-window", "This needs windows, or a length of full minutes in just one."
+            )
         if ask.length > windows[0].end - windows[0].start:
             return Refused("bad-window", "The length is more than there is between these times.")
         begin = windows[0].end - ask.length if ask.length else windows[0].start
         end = windows[0].start + ask.length if ask.length else windows[-1].end
         if begin < self.at + config.least_notice:
-            return Refused("too-soon", f"A booking begins {config.least_notice // MINUTE} minutes ahead.")
+            return Refused(
+                "too-soon", f"A booking begins {config.least_notice // MINUTE} minutes ahead."
+            )
         if end > self.at + config.horizon:
             return Refused("too-far", f"A booking ends within {config.horizon // HOUR} hours.")
         if not self._place(ask.kind, ask.slots, ask.spread, None):
             if self._place(ask.kind, ask.slots, Spread(), None):
-                return Refused("spread", "So many slots can't be spread so, even if nothing were booked.")
-            return Refused("too-large", "That is more than is promised, even if nothing were booked.")
+                return Refused(
+                    "spread", "So many slots can't be spread so, even if nothing were booked."
+                )
+            return Refused(
+                "too-large", "That is more than is promised, even if nothing were booked."
+            )
         use = ask.slots * ask.length if ask.length else _use(ask.slots, windows)
         return self._over(ask.tenant, use, len(windows))
 
@@ -239,13 +265,18 @@
     def _most(self, key: tuple[str, str], spread: Spread, room: int) -> int:
         return min(room, spread.per_worker * self.workers[key]) if spread.per_worker else room
 
-    def _first(self, ask: Ask, first: int, last: int, length: int, back: bool = False) -> int | None:
+    def _first(
+        self, ask: Ask, first: int, last: int, length: int, back: bool = False
+    ) -> int | None:
         """The first start that fits; `back`: the last. At most MOST_TRIED windows are looked at, for a length
         in one zone all: from one that does not fit on to where some zone has more room."""
         if ask.length and ask.spread.zones == 1:  # exact, and no offers beside it
             each = ask.spread.per_worker
-            fits = [line.fits(length, ask.slots, first, last) for key, line in self.lines.items()
-                    if key[1] == ask.kind and (not each or each * self.workers[key] >= ask.slots)]
+            fits = [
+                line.fits(length, ask.slots, first, last)
+                for key, line in self.lines.items()
+                if key[1] == ask.kind and (not each or each * self.workers[key] >= ask.slots)
+            ]
             return min((start for start in fits if start is not None), default=None)
         keys = [key for key in self.lines if key[1] == ask.kind]
         lines = [self.lines[key] for key in keys]
@@ -254,8 +285,10 @@
             if not first <= start <= last:
                 return None
             found = [line.rims(start, start + length) for line in lines]
-            rooms = [(self._most(key, ask.spread, line.ceiling - one[0]), key[0])
-                     for key, line, one in zip(keys, lines, found, strict=True)]
+            rooms = [
+                (self._most(key, ask.spread, line.ceiling - one[0]), key[0])
+                for key, line, one in zip(keys, lines, found, strict=True)
+            ]
             if _part(sorted(rooms), ask.slots, ask.spread):
                 return start
             rims = [one[1:] for one in found if one[0]]
@@ -271,8 +304,10 @@
         low = up(self.at + self.config.least_notice)
         high = (self.at + self.config.horizon - length) // MINUTE * MINUTE
         offers = []
-        for start in (self._first(ask, low, window.start - MINUTE, length, back=True),
-                      self._first(ask, window.start + MINUTE, high, length)):
+        for start in (
+            self._first(ask, low, window.start - MINUTE, length, back=True),
+            self._first(ask, window.start + MINUTE, high, length),
+        ):
             if start is not None:
                 offers += self._hold(ask, Window(start, start + length), ask.slots)
         rooms, fewest, most = self._rooms(ask.kind, ask.spread, window), 0, ask.slots - 1
@@ -311,9 +346,13 @@
             return Booked(booking.number, booking.windows, booking.placed)
         windows: list[Window | None] = list(booking.windows)
         if isinstance(entry, Cancel):
-            windows = [one if one.start < self.at + self.config.cutoff else None for one in booking.windows]
+            windows = [
+                one if one.start < self.at + self.config.cutoff else None for one in booking.windows
+            ]
             if None not in windows:
-                return Refused("too-late", f"Up to {self.config.cutoff // MINUTE} minutes before its start.")
+                return Refused(
+                    "too-late", f"Up to {self.config.cutoff // MINUTE} minutes before its start."
+                )
         else:
             first, now = booking.windows[0], up(self.at)
             if first.start > self.at:
--- a/yewrill/calendar/timeline.py
+++ b/yewrill/calendar/timeline.py
@@ -16,7 +16,9 @@
 
     def __init__(self, ceiling: int):
         self.ceiling = ceiling
-        self.steps: SortedDict = SortedDict()  # moment -> slots promised from it on; 0 before the first
+        self.steps: SortedDict = (
+            SortedDict()
+        )  # moment -> slots promised from it on; 0 before the first
 
     def _at(self, moment: int) -> int:
         place = self.steps.bisect_right(moment)
@@ -67,7 +69,9 @@
         for moment, slots in list(self.spans(start, end)):
             steps[moment] = slots + by
         steps[end] = last
-        if steps[start] == before:  # within, all neighbours change alike: only the rims can become level
+        if (
+            steps[start] == before
+        ):  # within, all neighbours change alike: only the rims can become level
             del steps[start]
         if self._at(end - 1) == last:
             del steps[end]
--- a/yewrill/calendar/windows.py
+++ b/yewrill/calendar/windows.py
@@ -25,8 +25,9 @@
     end: int
 
 
-def occurrences(rule: str, zone_name: str, first_local: datetime, length_ms: int, until: int,
-                most: int) -> tuple[Window, ...]:
+def occurrences(
+    rule: str, zone_name: str, first_local: datetime, length_ms: int, until: int, most: int
+) -> tuple[Window, ...]:
     """The windows of an RFC 5545 rule from `first_local` (no zone) on that end by `until` (ms), ascending.
 
     ValueError: a rule or zone that can't be read, finer than a day, more than `most` windows, none, or one
@@ -48,7 +49,9 @@
         if len(found) == most:
             raise ValueError(f"the rule gives more than {most} windows")
         if found and start < found[-1].end:
-            raise ValueError(f"a window begins before the one before it ends: {local:%Y-%m-%d %H:%M}")
+            raise ValueError(
+                f"a window begins before the one before it ends: {local:%Y-%m-%d %H:%M}"
+            )
         found.append(Window(start, start + length_ms))
     if not found:
         raise ValueError("the rule gives no window in time")
@@ -58,7 +61,9 @@
 def _read(rule: str, first: datetime) -> rrule:
     """A rule of days or more: finer ones could be searched for long without an occurrence."""
     if len(rule) > MOST_RULE or "\n" in rule or any(word in rule.upper() for word in _FINE):
-        raise ValueError("a rule is one line, repeats by days or more, and keeps the first's time of day")
+        raise ValueError(
+            "a rule is one line, repeats by days or more, and keeps the first's time of day"
+        )
     if "INTERVAL" in rule.upper() and not re.search(r"INTERVAL=0*[1-9]\d*(;|$)", rule.upper()):
         raise ValueError("a rule's interval is 1 or more")
     try:
--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -65,7 +65,9 @@
     try:
         sys.exit(run(config, log_level, lambda: load_config(path, os.environ), log_format))
     except ModuleNotFoundError as error:
-        _fail(ConfigError(f"--log-format: {error.name} is not installed: pip install 'yewrill[log]'"))
+        _fail(
+            ConfigError(f"--log-format: {error.name} is not installed: pip install 'yewrill[log]'")
+        )
 
 
 @main.command()
@@ -110,20 +112,36 @@
     "group (all, zone, cell), window (ms).",
 )
 @click.option("--tenant", "tenants", multiple=True, metavar="NAME:quota_per_s=N,share=N")
-@click.option("--zone", "zones", multiple=True, help="A zone, in discovery's words; the first one is ours.")
-@click.option("--report", "reports", multiple=True, metavar="FIELD",
-              help="A field of destinations' load reports, in their order: inflight, util, or others.")
+@click.option(
+    "--zone", "zones", multiple=True, help="A zone, in discovery's words; the first one is ours."
+)
+@click.option(
+    "--report",
+    "reports",
+    multiple=True,
+    metavar="FIELD",
+    help="A field of destinations' load reports, in their order: inflight, util, or others.",
+)
 @click.option("--free-slots", metavar="FIELD", help="The report field that counts free slots.")
-@click.option("--cross-zone-fee", type=click.FloatRange(0.0, 1.0), default=0.0,
-              help="What a request that crosses zones costs, as a part of the worth asked for.")
+@click.option(
+    "--cross-zone-fee",
+    type=click.FloatRange(0.0, 1.0),
+    default=0.0,
+    help="What a request that crosses zones costs, as a part of the worth asked for.",
+)
 @click.option("--kind", "kinds", multiple=True, help="A kind of machine, in discovery's words.")
 @click.option("--dispatchers", default=1, show_default=True, type=click.IntRange(1))
 @click.option("--sockets", default=1024, show_default=True)
 @click.option("--memory-mb", default=192, show_default=True)
 @click.option("--cores", default=1.0, show_default=True)
-@click.option("--from-trace", type=click.Path(dir_okay=False), help="Derive the classes from a trace in CSV.")
 @click.option(
-    "--trace-format", type=click.Choice(list(formats())), default=next(iter(formats())), show_default=True
+    "--from-trace", type=click.Path(dir_okay=False), help="Derive the classes from a trace in CSV."
+)
+@click.option(
+    "--trace-format",
+    type=click.Choice(list(formats())),
+    default=next(iter(formats())),
+    show_default=True,
 )
 @click.option(
     "--time-scale",
@@ -134,7 +152,9 @@
 )
 @click.option("--strict", is_flag=True, help="Fail if the trace has a bad row.")
 @click.option(
-    "--output", type=click.Path(dir_okay=False), help="The file to write; standard output if absent."
+    "--output",
+    type=click.Path(dir_okay=False),
+    help="The file to write; standard output if absent.",
 )
 def write(classes, tenants, from_trace, trace_format, time_scale, strict, output, **rest) -> None:
     """Make a configuration file from options, or from a public cluster trace."""
@@ -186,7 +206,9 @@
         try:
             return getattr(importlib.import_module(self._module), self.name)
         except ModuleNotFoundError as error:
-            _fail(ConfigError(f"{error.name} is not installed: pip install 'yewrill[{self._extra}]'"))
+            _fail(
+                ConfigError(f"{error.name} is not installed: pip install 'yewrill[{self._extra}]'")
+            )
 
     def list_commands(self, context: click.Context) -> list[str]:
         return self._load().list_commands(context)
@@ -195,16 +217,46 @@
         return self._load().get_command(context, name)
 
 
-main.add_command(_Later("yewrill.store.commands", "store", "store",
-                        help="Look into, check and move an embedded store (a dispatcher's `state_dir`)."))
-main.add_command(_Later("yewrill.tracing.commands", "trace", "tracing",
-                        help="Read traces: which jobs were late, refused, failed or tried again, and why."))
-main.add_command(_Later("yewrill.zones.commands", "zones", "members",
-                        help="See the fleet's plan of zones; order or forbid a leave."))
-main.add_command(_Later("yewrill.ownership.commands", "owners", "members",
-                        help="See who owns the fleet's duties; have one given up."))
-main.add_command(_Later("yewrill.lab.cluster.commands", "lab", "members",
-                        help="The laboratory: real dispatchers among stand-ins, with faults between them."))
+main.add_command(
+    _Later(
+        "yewrill.store.commands",
+        "store",
+        "store",
+        help="Look into, check and move an embedded store (a dispatcher's `state_dir`).",
+    )
+)
+main.add_command(
+    _Later(
+        "yewrill.tracing.commands",
+        "trace",
+        "tracing",
+        help="Read traces: which jobs were late, refused, failed or tried again, and why.",
+    )
+)
+main.add_command(
+    _Later(
+        "yewrill.zones.commands",
+        "zones",
+        "members",
+        help="See the fleet's plan of zones; order or forbid a leave.",
+    )
+)
+main.add_command(
+    _Later(
+        "yewrill.ownership.commands",
+        "owners",
+        "members",
+        help="See who owns the fleet's duties; have one given up.",
+    )
+)
+main.add_command(
+    _Later(
+        "yewrill.lab.cluster.commands",
+        "lab",
+        "members",
+        help="The laboratory: real dispatchers among stand-ins, with faults between them.",
+    )
+)
 
 
 if __name__ == "__main__":
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -17,9 +17,15 @@
 ENV_CONFIG = "BALANCER_CONFIG"
 FRONTS = ("platform", "progress")
 # Environment variables that stand in for the file's own keys.
-ENV_KEYS = {"name": "BALANCER_NAME", "listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY",
-            "mgmt": "BALANCER_MGMT"}
-ENV_INHERITED = "BALANCER_INHERITED_FD"  # the clients' listening socket, where the platform holds it
+ENV_KEYS = {
+    "name": "BALANCER_NAME",
+    "listen": "BALANCER_LISTEN",
+    "discovery": "BALANCER_DISCOVERY",
+    "mgmt": "BALANCER_MGMT",
+}
+ENV_INHERITED = (
+    "BALANCER_INHERITED_FD"  # the clients' listening socket, where the platform holds it
+)
 ENV_TEMPORARY = "TMPDIR"  # shared by the runs of one dispatcher
 _STATES = {"SERVING": api.RUNNING, "DRAINING": api.DRAINING, "DELETED": api.GONE}
 STATE_WORDS = {state: word for word, state in _STATES.items()}
@@ -123,7 +129,9 @@
     places: Places = field(default_factory=Places)
     known: Mapping[str, Any] | None = None
     stated: frozenset[str] = frozenset()  # the keys that the file has
-    inherited_fd: int | None = None  # listen on this descriptor; two runs may then serve beside each other
+    inherited_fd: int | None = (
+        None  # listen on this descriptor; two runs may then serve beside each other
+    )
     link_dir: str | None = None  # where they find each other
     mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
     state: StateConfig | None = None  # without it nothing is kept
@@ -131,7 +139,9 @@
     members: MembersConfig | None = None  # without it no other dispatcher is known
     ownership: OwnershipConfig | None = None  # without it no duty has an owner
     zones: ZonesConfig | None = None  # without it no zone is left by plan
-    views: Any = None  # yewrill.views.config.ViewsConfig; without it each goes by its own list of members
+    views: Any = (
+        None  # yewrill.views.config.ViewsConfig; without it each goes by its own list of members
+    )
     front: str = "platform"
     answer_margin_ms: float = 20.0  # final answers leave this long before the client gives up
     linger_ms: float = 700.0  # after SIGTERM, how long new connections are still taken
@@ -142,21 +152,29 @@
 
 # Where the file has what is named otherwise here.
 _KEY_OF = {
-    "places": "settings.areas or settings.kinds", "connect_timeout_ms": "settings.limits.connect_timeout",
-    "idle_close_ms": "settings.limits.idle_close", "answer_margin_ms": "timing.answer_margin_ms",
-    "state": "state_dir or state", "linger_ms": "timing.linger_ms", "grace_ms": "timing.grace_ms",
+    "places": "settings.areas or settings.kinds",
+    "connect_timeout_ms": "settings.limits.connect_timeout",
+    "idle_close_ms": "settings.limits.idle_close",
+    "answer_margin_ms": "timing.answer_margin_ms",
+    "state": "state_dir or state",
+    "linger_ms": "timing.linger_ms",
+    "grace_ms": "timing.grace_ms",
 }
 
 
 # ------------------------------------------------------------------------------------------- checked values
 
 
-def _number(value: Any, key: str, low: float = 0.0, high: float = 1e18, *, open_low: bool = False) -> float:
+def _number(
+    value: Any, key: str, low: float = 0.0, high: float = 1e18, *, open_low: bool = False
+) -> float:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ConfigError(f"{key}: a number is needed, not {_show(value)}")
     if not low <= value <= high or (open_low and value == low):
-        raise ConfigError(f"{key}: {value} is not {'above' if open_low else 'at least'} {low:g}"
-                          + (f" and at most {high:g}" if high < 1e18 else ""))
+        raise ConfigError(
+            f"{key}: {value} is not {'above' if open_low else 'at least'} {low:g}"
+            + (f" and at most {high:g}" if high < 1e18 else "")
+        )
     return value
 
 
@@ -221,17 +239,24 @@
         entry = _object(entry, at)
         state = _STATES.get(entry.get("state", "SERVING"))
         if state is None:
-            raise ConfigError(f"{at}.state: {_show(entry.get('state'))} is not one of {', '.join(_STATES)}")
+            raise ConfigError(
+                f"{at}.state: {_show(entry.get('state'))} is not one of {', '.join(_STATES)}"
+            )
         gone = state == api.GONE  # what is gone needs no address
-        found.append(Destination(
-            _text(entry.get("id"), f"{at}.id"),
-            ("", 0) if gone and not entry.get("addr") else read_address(entry.get("addr"), f"{at}.addr"),
-            Places.position(entry.get("zone", 0), places.zones, f"{at}.zone"),
-            Places.position(entry.get("kind", 0), places.kinds, f"{at}.kind"),
-            _whole(entry.get("cell", 0), f"{at}.cell"), state,
-            _number(entry.get("weight", 1.0), f"{at}.weight"),
-            _number(entry.get("started_ms", 0), f"{at}.started_ms"),
-        ))
+        found.append(
+            Destination(
+                _text(entry.get("id"), f"{at}.id"),
+                ("", 0)
+                if gone and not entry.get("addr")
+                else read_address(entry.get("addr"), f"{at}.addr"),
+                Places.position(entry.get("zone", 0), places.zones, f"{at}.zone"),
+                Places.position(entry.get("kind", 0), places.kinds, f"{at}.kind"),
+                _whole(entry.get("cell", 0), f"{at}.cell"),
+                state,
+                _number(entry.get("weight", 1.0), f"{at}.weight"),
+                _number(entry.get("started_ms", 0), f"{at}.started_ms"),
+            )
+        )
     return found
 
 
@@ -239,12 +264,19 @@
 
 # Numbers of the settings that must make sense wherever they are given: path, lowest, may be lowest.
 _NUMBERS = (
-    ("limits.try_limit", 1.0, True), ("limits.connect_timeout", 0.0, False),
-    ("limits.idle_close", 0.0, False), ("limits.max_retry_after", 0.0, True),
-    ("rules.answer_slack", 0.0, True), ("rules.fall", 0.0, True), ("rules.fall_multiple", 0.0, False),
-    ("rules.start_capacity", 0.0, False), ("rules.warm_after", 0.0, True),
-    ("rules.stop_sending_within", 0.0, True), ("tick", 0.0, False),
-    ("over_share_worth", 0.0, True), ("specifics.progress", 0.0, True),
+    ("limits.try_limit", 1.0, True),
+    ("limits.connect_timeout", 0.0, False),
+    ("limits.idle_close", 0.0, False),
+    ("limits.max_retry_after", 0.0, True),
+    ("rules.answer_slack", 0.0, True),
+    ("rules.fall", 0.0, True),
+    ("rules.fall_multiple", 0.0, False),
+    ("rules.start_capacity", 0.0, False),
+    ("rules.warm_after", 0.0, True),
+    ("rules.stop_sending_within", 0.0, True),
+    ("tick", 0.0, False),
+    ("over_share_worth", 0.0, True),
+    ("specifics.progress", 0.0, True),
 )
 
 
@@ -271,12 +303,16 @@
     for i, job_class in enumerate(raw["request_classes"]):
         _check_class(_object(job_class, f"settings.request_classes[{i}]"), i, names)
     kinds = len(raw.get("kinds", []))
-    for i, kind in enumerate(_list(raw.get("specifics", {}).get("class_kind", []),
-                                   "settings.specifics.class_kind")):
+    for i, kind in enumerate(
+        _list(raw.get("specifics", {}).get("class_kind", []), "settings.specifics.class_kind")
+    ):
         if _whole(kind, f"settings.specifics.class_kind[{i}]", -1) >= max(1, kinds):
-            raise ConfigError(f"settings.specifics.class_kind[{i}]: no machine kind {kind} in settings.kinds")
-    for i, value in enumerate(_list(raw.get("specifics", {}).get("class_stretch", []),
-                                    "settings.specifics.class_stretch")):
+            raise ConfigError(
+                f"settings.specifics.class_kind[{i}]: no machine kind {kind} in settings.kinds"
+            )
+    for i, value in enumerate(
+        _list(raw.get("specifics", {}).get("class_stretch", []), "settings.specifics.class_stretch")
+    ):
         _number(value, f"settings.specifics.class_stretch[{i}]")
     tenants: set[str] = set()
     for i, tenant in enumerate(raw.get("parties", [])):
@@ -323,8 +359,25 @@
     for key, variable in ENV_KEYS.items():
         if key not in raw and (environment or {}).get(variable):
             raw[key] = environment[variable]
-    known_keys = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "front", "timing",
-                  "mgmt", "state_dir", "state", "tracing", "members", "zones", "ownership", "views"}
+    known_keys = {
+        "name",
+        "listen",
+        "discovery",
+        "seed",
+        "limits",
+        "known",
+        "settings",
+        "front",
+        "timing",
+        "mgmt",
+        "state_dir",
+        "state",
+        "tracing",
+        "members",
+        "zones",
+        "ownership",
+        "views",
+    }
     for key in ("listen", "discovery", "settings"):
         if key not in raw:
             raise ConfigError(f"{key}: missing")
@@ -339,9 +392,15 @@
             if close:
                 raise ConfigError(f"{key}: no such key; {close[0]} is meant?")
     settings = read_settings(raw["settings"])
-    places = Places(*(tuple(_text(name, f"settings.{part}[{i}]")
-                            for i, name in enumerate(raw["settings"].get(part, [])))
-                      for part in ("areas", "kinds")))
+    places = Places(
+        *(
+            tuple(
+                _text(name, f"settings.{part}[{i}]")
+                for i, name in enumerate(raw["settings"].get(part, []))
+            )
+            for part in ("areas", "kinds")
+        )
+    )
     if raw.get("known") is not None:
         read_destinations(raw["known"], "known", places)
     seed = raw.get("seed", "0")
@@ -425,8 +484,12 @@
     return StateConfig(
         _text(raw["state_dir"], "state_dir"),
         _one_of(state.get("mode", default.mode), "state.mode", STATE_MODES),
-        _number(state.get("unsafe_window_ms", default.unsafe_window_ms), "state.unsafe_window_ms",
-                0.0, 30 * 86_400_000.0),
+        _number(
+            state.get("unsafe_window_ms", default.unsafe_window_ms),
+            "state.unsafe_window_ms",
+            0.0,
+            30 * 86_400_000.0,
+        ),
         _number(state.get("patience_ms", default.patience_ms), "state.patience_ms", 1.0, 60_000.0),
     )
 
@@ -443,17 +506,21 @@
     found = TracingConfig(
         share=number("share", 0.0, 1.0),
         queue=_whole(given.get("queue", default.queue), "tracing.queue", 1, 10**6),
-        honoured=number("honoured", 0.0, 1e6), file_mb=number("file_mb", 0.001, 1e6),
+        honoured=number("honoured", 0.0, 1e6),
+        file_mb=number("file_mb", 0.001, 1e6),
         files=_whole(given.get("files", default.files), "tracing.files", 1, 1000),
         spool_mb=number("spool_mb", 0.0, 1e5),
         collector=_text(given["collector"], "tracing.collector") if "collector" in given else "",
-        file=_text(given["file"], "tracing.file") if "file" in given else "")
+        file=_text(given["file"], "tracing.file") if "file" in given else "",
+    )
     if not found.collector and not found.file:
         raise ConfigError("tracing: a collector or a file is needed")
     if found.collector:
         address, slash, path = found.collector.removeprefix("http://").partition("/")
         if not found.collector.startswith("http://"):
-            raise ConfigError(f"tracing.collector: {_show(found.collector)} is not http://IPv4-ADDRESS:PORT/PATH")
+            raise ConfigError(
+                f"tracing.collector: {_show(found.collector)} is not http://IPv4-ADDRESS:PORT/PATH"
+            )
         read_address(address, "tracing.collector")
     if found.spool_mb and raw.get("state_dir") is None:
         raise ConfigError("tracing.spool_mb: needs state_dir")
@@ -465,8 +532,10 @@
         return None
     given = _object(raw["members"], "members")
     _only(given, MembersConfig.__slots__, "members")
-    keys = [_text(key, f"members.keys[{i}]")
-            for i, key in enumerate(_list(given.get("keys"), "members.keys"))]
+    keys = [
+        _text(key, f"members.keys[{i}]")
+        for i, key in enumerate(_list(given.get("keys"), "members.keys"))
+    ]
     if not 1 <= len(keys) <= 2:
         raise ConfigError("members.keys: one key, or two during a change")
     for i, key in enumerate(keys):
@@ -482,15 +551,23 @@
     listen = read_address(given.get("listen"), "members.listen", any_port=True)
     if listen[0] == "0.0.0.0":
         raise ConfigError("members.listen: an address that peers can reach is needed, not 0.0.0.0")
-    names = {key: given.get(key, raw.get("name", "yewrill") if key == "name" else "")
-             for key in ("name", "zone", "region")}
+    names = {
+        key: given.get(key, raw.get("name", "yewrill") if key == "name" else "")
+        for key in ("name", "zone", "region")
+    }
     for key, value in names.items():
         if not isinstance(value, str) or len(value) > 64 or (key == "name" and not value):
             raise ConfigError(f"members.{key}: a text of at most 64 characters is needed")
     return MembersConfig(
-        listen, tuple(read_address(peer, f"members.peers[{i}]") for i, peer in enumerate(peers)), tuple(keys),
-        bytes_per_s=_number(given.get("bytes_per_s", 20_000.0), "members.bytes_per_s", 2_000.0, 1e9),
-        interval=_number(given.get("interval", 0.5), "members.interval", 0.05, 60.0), **names)
+        listen,
+        tuple(read_address(peer, f"members.peers[{i}]") for i, peer in enumerate(peers)),
+        tuple(keys),
+        bytes_per_s=_number(
+            given.get("bytes_per_s", 20_000.0), "members.bytes_per_s", 2_000.0, 1e9
+        ),
+        interval=_number(given.get("interval", 0.5), "members.interval", 0.05, 60.0),
+        **names,
+    )
 
 
 def _read_ownership(raw: Mapping[str, Any]) -> OwnershipConfig | None:
@@ -500,15 +577,23 @@
     _only(given, OwnershipConfig.__slots__, "ownership")
     if raw.get("members") is None:
         raise ConfigError("ownership: needs members")
-    voters = tuple(_text(name, f"ownership.voters[{i}]")
-                   for i, name in enumerate(_list(given.get("voters"), "ownership.voters")))
+    voters = tuple(
+        _text(name, f"ownership.voters[{i}]")
+        for i, name in enumerate(_list(given.get("voters"), "ownership.voters"))
+    )
     if len(voters) not in (1, 3, 5, 7) or len(set(voters)) != len(voters):
-        raise ConfigError("ownership.voters: 3, 5 or 7 different members are needed (1 alone to try it)")
+        raise ConfigError(
+            "ownership.voters: 3, 5 or 7 different members are needed (1 alone to try it)"
+        )
     trust = given.get("trust_disk", False)
     if not isinstance(trust, bool):
         raise ConfigError("ownership.trust_disk: true or false")
-    return OwnershipConfig(voters, _text(given.get("dir"), "ownership.dir"),
-                           _number(given.get("span", 2.0), "ownership.span", 0.5, 3600.0), trust)
+    return OwnershipConfig(
+        voters,
+        _text(given.get("dir"), "ownership.dir"),
+        _number(given.get("span", 2.0), "ownership.span", 0.5, 3600.0),
+        trust,
+    )
 
 
 def _read_zones(raw: Mapping[str, Any]) -> ZonesConfig | None:
@@ -525,7 +610,8 @@
         hold=_number(given.get("hold", default.hold), "zones.hold", 0.1, 3600.0),
         step=_number(given.get("step", default.step), "zones.step", 0.1, 3600.0),
         most_out=_number(given.get("most_out", default.most_out), "zones.most_out", 0.0, 1.0),
-        stands=_number(given.get("stands", default.stands), "zones.stands", 1.0, 3600.0))
+        stands=_number(given.get("stands", default.stands), "zones.stands", 1.0, 3600.0),
+    )
 
 
 _OF_A_START = ("known", "seed")
@@ -549,21 +635,27 @@
     # Where the file in service has a key, its absence is a file cut short, not a wish for the default.
     for key in sorted(before.stated - now.stated):
         raise ConfigError(f"{key}: missing, the file in service has it")
-    for part, old, new in (("areas", before.places.zones, now.places.zones),
-                           ("kinds", before.places.kinds, now.places.kinds)):
-        if new[:len(old)] != old:
+    for part, old, new in (
+        ("areas", before.places.zones, now.places.zones),
+        ("kinds", before.places.kinds, now.places.kinds),
+    ):
+        if new[: len(old)] != old:
             raise ConfigError(f"settings.{part}: may only grow while the program serves")
 
 
 def differing(before: Config, now: Config) -> list[str]:
     """The keys of the file in which two configurations differ, but for those that only a start uses."""
-    return [_KEY_OF.get(f.name, f.name) for f in fields(Config)
-            if f.name not in ("known", "seed", "stated", "inherited_fd", "link_dir")
-            and getattr(before, f.name) != getattr(now, f.name)]
+    return [
+        _KEY_OF.get(f.name, f.name)
+        for f in fields(Config)
+        if f.name not in ("known", "seed", "stated", "inherited_fd", "link_dir")
+        and getattr(before, f.name) != getattr(now, f.name)
+    ]
 
 
-def load_config(path: str | Path, environment: Mapping[str, str] | None = None, *,
-                strict: bool = False) -> Config:
+def load_config(
+    path: str | Path, environment: Mapping[str, str] | None = None, *, strict: bool = False
+) -> Config:
     """Read and check a configuration file; `strict`: refuse what contradicts itself too."""
     try:
         text = Path(path).read_bytes()
@@ -585,8 +677,10 @@
     report = settings.get("load_report", {})
     at = "settings.load_report"
     via = _one_of(report.get("via", "off"), f"{at}.via", ("inline", "on_probe", "off"))
-    names = [_text(name, f"{at}.fields[{i}]") for i, name in enumerate(_list(report.get("fields", []),
-                                                                           f"{at}.fields"))]
+    names = [
+        _text(name, f"{at}.fields[{i}]")
+        for i, name in enumerate(_list(report.get("fields", []), f"{at}.fields"))
+    ]
     for i, name in enumerate(names):
         if name in names[:i]:
             raise ConfigError(f"{at}.fields[{i}]: {_show(name)} is there twice")
@@ -595,11 +689,16 @@
     if via != "off" and not names:
         raise ConfigError(f"{at}.fields: none, with reports {via}")
     specifics = settings.get("specifics", {})
-    free = [key.removeprefix("report_") for key, means in specifics.items()
-            if key.startswith("report_") and means == "free slots"]
+    free = [
+        key.removeprefix("report_")
+        for key, means in specifics.items()
+        if key.startswith("report_") and means == "free slots"
+    ]
     if names and not {"inflight", "util", *free} & set(names):
-        raise ConfigError(f"{at}.fields: none tells of room (inflight, util, or one that specifics.report_… "
-                          "calls free slots)")
+        raise ConfigError(
+            f"{at}.fields: none tells of room (inflight, util, or one that specifics.report_… "
+            "calls free slots)"
+        )
     if via == "on_probe" and not settings.get("limits", {}).get("may_probe", False):
         raise ConfigError("settings.limits.may_probe: false, with reports on probes")
     areas = settings.get("areas", [])
@@ -610,5 +709,6 @@
         raise ConfigError("settings.fees.cross_zone: a fee for crossings, with one zone")
     for i, job_class in enumerate(settings["request_classes"]):
         if job_class.get("late_value", 0.0) > 1.0:
-            raise ConfigError(f"settings.request_classes[{i}].late_value: worth more late than "
-                              "in time")
+            raise ConfigError(
+                f"settings.request_classes[{i}].late_value: worth more late than in time"
+            )
--- a/yewrill/configwrite.py
+++ b/yewrill/configwrite.py
@@ -49,7 +49,9 @@
     for part in filter(None, rest.split(",")):
         word, equals, value = part.partition("=")
         if word not in keys or not equals:
-            raise ConfigError(f"{key} {name}: {part!r} is not one of {', '.join(keys)}, as KEY=VALUE")
+            raise ConfigError(
+                f"{key} {name}: {part!r} is not one of {', '.join(keys)}, as KEY=VALUE"
+            )
         try:
             values[word] = keys[word](value)
         except ValueError:
@@ -129,7 +131,12 @@
     for item in tenants:
         tenant, values = parse_item(item, "--tenant", _TENANT_KEYS)
         parties.append(
-            {"name": tenant, "share": 1.0 / len(tenants), "quota_per_s": rate / len(tenants), **values}
+            {
+                "name": tenant,
+                "share": 1.0 / len(tenants),
+                "quota_per_s": rate / len(tenants),
+                **values,
+            }
         )
     raw: dict[str, Any] = {
         "name": name,
--- a/yewrill/core.py
+++ b/yewrill/core.py
@@ -36,13 +36,19 @@
                 ending, result = await attempt(choice)
             except Exception:
                 # A fault in one attempt ends that attempt; the module sees an error that may have run.
-                log.exception("attempt-fault operation=%s destination=%s", operation.id, choice.destination)
+                log.exception(
+                    "attempt-fault operation=%s destination=%s", operation.id, choice.destination
+                )
             finally:
                 decisions.report(choice, ending)
             if ending is Ending.SERVED:
                 return None if operation.client_left else Served(result)
-            log.debug("attempt operation=%s destination=%s ending=%s", operation.id, choice.destination,
-                      ending.value)
+            log.debug(
+                "attempt operation=%s destination=%s ending=%s",
+                operation.id,
+                choice.destination,
+                ending.value,
+            )
     except Exception:
         # Whatever else goes wrong, the client is owed an answer.
         log.exception("operation-fault operation=%s", operation.id)
--- a/yewrill/ending.py
+++ b/yewrill/ending.py
@@ -14,7 +14,9 @@
     FAILED = "failed"  # it said that the job failed
     GARBLED = "garbled"  # it sent something that is not the protocol's
     TURNED_AWAY = "turned away"  # it sent the job back unstarted
-    UNREACHED = "unreached"  # refused, never came up, or broke before the request's last byte was written
+    UNREACHED = (
+        "unreached"  # refused, never came up, or broke before the request's last byte was written
+    )
     RESET = "reset"  # broke, or told of a lost job, after the last byte was written
     # As these two, on a connection kept from before and with no word come back: it may just have been old.
     WORN_UNREACHED = "worn, unreached"
--- a/yewrill/facade.py
+++ b/yewrill/facade.py
@@ -43,7 +43,9 @@
     memory: float = 0.0
     hint: float = 0.0
     retry: bool = False
-    subject: str = ""  # what it concerns, where clients tell: destinations keep what jobs of one need
+    subject: str = (
+        ""  # what it concerns, where clients tell: destinations keep what jobs of one need
+    )
     payload: Any = None
     client_left: bool = False
     # An attempt before a restart that may have run: how long ago it was sent, and where. -1: there is none.
@@ -195,10 +197,22 @@
             # The client's own id is not the key: two clients may send the same one.
             operation.key = str(self._count)
             self._operations[operation.key] = operation
-            self._put(api.JobArrived(operation.key, operation.job_class, operation.deadline, operation.tenant,
-                                     operation.width, operation.memory, operation.hint, operation.retry,
-                                     operation.ran_ago, operation.ran_zone, operation.ran_cell,
-                                     operation.subject))
+            self._put(
+                api.JobArrived(
+                    operation.key,
+                    operation.job_class,
+                    operation.deadline,
+                    operation.tenant,
+                    operation.width,
+                    operation.memory,
+                    operation.hint,
+                    operation.retry,
+                    operation.ran_ago,
+                    operation.ran_zone,
+                    operation.ran_cell,
+                    operation.subject,
+                )
+            )
 
     def retune(self, settings: api.Settings) -> None:
         """Other settings, for every operation taken from now on."""
@@ -235,14 +249,32 @@
         if ending is Ending.SERVED:
             self._close(operation)
         elapsed = self.now() - step.sent if step.sent else 0.0
-        self._put(api.AttemptEnded(operation.key, step.number, step.destination, ending.outcome, elapsed,
-                                   operation.closed, loadreport.read(step.load, self._fields), ending.worn))
+        self._put(
+            api.AttemptEnded(
+                operation.key,
+                step.number,
+                step.destination,
+                ending.outcome,
+                elapsed,
+                operation.closed,
+                loadreport.read(step.load, self._fields),
+                ending.worn,
+            )
+        )
         if self._counting:
             waited = step.began - step.sent if step.began else -1.0
-            log.debug("step destination=%s ending=%s class=%d attempt=%d width=%g sent=%.0f waited=%.0f "
-                      "ran=%.0f", step.destination, ending.name, operation.job_class, step.number,
-                      operation.width, self._wall_base + (step.sent or self.now()), waited,
-                      elapsed - max(0.0, waited))
+            log.debug(
+                "step destination=%s ending=%s class=%d attempt=%d width=%g sent=%.0f waited=%.0f "
+                "ran=%.0f",
+                step.destination,
+                ending.name,
+                operation.job_class,
+                step.number,
+                operation.width,
+                self._wall_base + (step.sent or self.now()),
+                waited,
+                elapsed - max(0.0, waited),
+            )
 
     def started(self, step: RouteStep) -> None:
         if self._counting:
@@ -285,17 +317,35 @@
                     operation.live.withdraw(Ending.CALLED_OFF)
                 self._choose(operation, Failure("restarting"))
 
-    def pool_config(self, destinations: Iterable[Destination], *, full: bool, cached: bool = False) -> None:
+    def pool_config(
+        self, destinations: Iterable[Destination], *, full: bool, cached: bool = False
+    ) -> None:
         """What discovery tells."""
         form = api.LIST_CACHED if cached else api.LIST_FULL if full else api.LIST_CHANGES
         if self._counting:
             destinations = list(destinations)
-            log.debug("list form=%s %s", form, " ".join(
-                f"{d.id}:{d.state}:{d.started_ms:.0f}" for d in destinations))
-        self._put(api.WorkerList(form, [
-            api.WorkerEntry(d.id, d.zone, d.kind, d.cell, d.state, d.weight, self._launched(d.started_ms))
-            for d in destinations
-        ]))
+            log.debug(
+                "list form=%s %s",
+                form,
+                " ".join(f"{d.id}:{d.state}:{d.started_ms:.0f}" for d in destinations),
+            )
+        self._put(
+            api.WorkerList(
+                form,
+                [
+                    api.WorkerEntry(
+                        d.id,
+                        d.zone,
+                        d.kind,
+                        d.cell,
+                        d.state,
+                        d.weight,
+                        self._launched(d.started_ms),
+                    )
+                    for d in destinations
+                ],
+            )
+        )
 
     def returned(self, name: str, at: float) -> None:
         """Operators have put a destination back, at this wall clock time."""
@@ -354,7 +404,9 @@
     def _close(self, operation: Operation, tell: bool = False) -> None:
         if not operation.closed:
             operation.closed = True
-            if tell:  # it stays known until the module has heard, for what the module may send before
+            if (
+                tell
+            ):  # it stays known until the module has heard, for what the module may send before
                 self._put(api.ClientLeft(operation.key))
             else:
                 self._operations.pop(operation.key, None)
@@ -377,8 +429,9 @@
             step = RouteStep(operation, operation.steps, action.worker, until)
             operation.steps += 1
             if operation.trace is not None:
-                step.trace = operation.trace.chosen(step.number, action.worker, action.among, action.held,
-                                                    trio.current_time())
+                step.trace = operation.trace.chosen(
+                    step.number, action.worker, action.among, action.held, trio.current_time()
+                )
             if operation.closed:  # it ended between the module's last moment and this one
                 self.report(step, Ending.NOT_SENT)
             else:
@@ -389,11 +442,17 @@
                 return
             self._close(operation)
             if self._counting:
-                log.debug("no class=%d tries=%d why=%s", operation.job_class, operation.steps, action.why)
+                log.debug(
+                    "no class=%d tries=%d why=%s", operation.job_class, operation.steps, action.why
+                )
             if operation.live is not None:
                 operation.live.withdraw(Ending.TIMED_OUT)
-            self._choose(operation, BusyReply(action.retry_after, action.why) if kind is api.Refuse
-                         else Failure(why=action.why))
+            self._choose(
+                operation,
+                BusyReply(action.retry_after, action.why)
+                if kind is api.Refuse
+                else Failure(why=action.why),
+            )
         elif kind is api.SetTimer:
             heappush(self._timers, (now + action.delay, action.token))
         elif kind is api.Probe:
--- a/yewrill/fronts/platform.py
+++ b/yewrill/fronts/platform.py
@@ -27,12 +27,21 @@
 _NAME = re.compile(r"[!-~]{1,128}")
 _TEXT = re.compile(r"[ -~]{1,1024}")
 _PASSED = {
-    b"x-request-id": _ID, b"idempotency-key": _ID, b"x-priority-class": _NAME, b"x-tenant-id": _TEXT,
-    b"x-retried": _NAME, b"x-attrs": _TEXT, b"x-cost": _NAME, b"cookie": _TEXT, b"content-type": _TEXT,
+    b"x-request-id": _ID,
+    b"idempotency-key": _ID,
+    b"x-priority-class": _NAME,
+    b"x-tenant-id": _TEXT,
+    b"x-retried": _NAME,
+    b"x-attrs": _TEXT,
+    b"x-cost": _NAME,
+    b"cookie": _TEXT,
+    b"content-type": _TEXT,
 }
 # RFC 3986: a path and a query of plain characters.
-_TARGET = re.compile(r"/(?:[A-Za-z0-9._~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*"
-                     r"(?:\?(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*)?")
+_TARGET = re.compile(
+    r"/(?:[A-Za-z0-9._~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*"
+    r"(?:\?(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*)?"
+)
 
 
 # Python's own float() also takes spaces, underscores and words, which a destination may not.
@@ -102,13 +111,16 @@
         figures = self._figures(request.one(b"x-attrs"))
         cost = request.one(b"x-cost")
         return Operation(
-            id, job_class,
+            id,
+            job_class,
             # Short patience keeps at least half of its time, however wide the margin.
             now + max(wait - self.margin, wait * 0.5),
             tenant,
             width=figures.get("width", figures.get("slots", 1.0)),
             memory=figures.get("memory", 0.0),
-            hint=_number(cost, "X-Cost", 0, 1e9) if cost is not None else figures.get("expected", 0.0),
+            hint=_number(cost, "X-Cost", 0, 1e9)
+            if cost is not None
+            else figures.get("expected", 0.0),
             retry=retried == "1",
             subject=self._subject(request.one(b"cookie")),
             payload=request,
@@ -151,7 +163,9 @@
         return figures
 
 
-def passed_on(step: RouteStep, wait_ms: int, accept: str = "") -> tuple[str, str, list[tuple], bytes]:
+def passed_on(
+    step: RouteStep, wait_ms: int, accept: str = ""
+) -> tuple[str, str, list[tuple], bytes]:
     """The client's request as it goes to a destination: what was checked is as it came, the rest is new."""
     request: Request = step.operation.payload
     headers: list[tuple] = [("Host", "destination")]
@@ -171,7 +185,11 @@
         said = ujson.loads(text)
         share = said.get("share", 0.0)
         state = said["state"]
-        if not isinstance(state, str) or isinstance(share, bool) or not isinstance(share, (int, float)):
+        if (
+            not isinstance(state, str)
+            or isinstance(share, bool)
+            or not isinstance(share, (int, float))
+        ):
             raise Garbled("fields of the wrong type")
         if not 0.0 <= share <= 1.0:  # not a number fails too
             raise Garbled("share out of bounds")
@@ -183,7 +201,11 @@
 
 
 def body_of(result: Any) -> bytes:
-    return result.encode() if isinstance(result, str) else ujson.dumps(result, allow_nan=False).encode()
+    return (
+        result.encode()
+        if isinstance(result, str)
+        else ujson.dumps(result, allow_nan=False).encode()
+    )
 
 
 def retry_after(answer: BusyReply) -> str:
@@ -224,7 +246,9 @@
         """A reply to what is no job, though it looks like one."""
         return None
 
-    async def respond(self, client: Client, operation: Operation, carried: Carried, closing: Closing) -> bool:
+    async def respond(
+        self, client: Client, operation: Operation, carried: Carried, closing: Closing
+    ) -> bool:
         """Carry an operation and reply; whether the connection may carry another request."""
         answer = await carried()
         if answer is None or client.gone:
--- a/yewrill/fronts/progress.py
+++ b/yewrill/fronts/progress.py
@@ -21,7 +21,11 @@
 from yewrill.net.listener import Client
 
 CONTENT_TYPE = "text/event-stream"
-HEADERS = [("Content-Type", CONTENT_TYPE), ("Cache-Control", "no-store"), ("X-Accel-Buffering", "no")]
+HEADERS = [
+    ("Content-Type", CONTENT_TYPE),
+    ("Cache-Control", "no-store"),
+    ("X-Accel-Buffering", "no"),
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +68,7 @@
         for end in self._ENDS.finditer(buffer):
             if end.group() == b"\r" and end.end() == len(buffer):
                 break  # it may be the first half of CR LF
-            self._line(buffer[at:end.start()].decode("utf-8", "replace"), events)
+            self._line(buffer[at : end.start()].decode("utf-8", "replace"), events)
             at = end.end()
         self._rest = buffer[at:]
         if len(self._rest) + self._size > self._most:
@@ -155,7 +159,9 @@
         """A reader that reconnects by itself would submit its job again: 204 tells it to stop."""
         return Reply(204) if request.one(b"last-event-id") is not None else None
 
-    async def respond(self, client: Client, operation: Operation, carried: Carried, closing: Closing) -> bool:
+    async def respond(
+        self, client: Client, operation: Operation, carried: Carried, closing: Closing
+    ) -> bool:
         """Open the stream, pass progress on, write the one final event. The connection ends with it."""
         head = client.http.head(200, HEADERS, close=True)
         if not await client.send(head + client.http.part(b": taken\n\n")):
@@ -177,8 +183,9 @@
         while (progress := await outlet.next()) is not None:
             number, share = progress
             told += 1
-            event = encode_event("progress", {"id": operation.id, "attempt": number, "share": share},
-                                 f"{told}")
+            event = encode_event(
+                "progress", {"id": operation.id, "attempt": number, "share": share}, f"{told}"
+            )
             if not await client.send(client.http.part(event)):
                 # Gone, or not reading: an event that is half written can't be followed by another.
                 client.leave()
@@ -192,5 +199,7 @@
     if isinstance(answer, Served):
         return encode_event("served", {"id": operation.id, "result": answer.result}, id)
     if isinstance(answer, BusyReply):
-        return encode_event("refused", {"id": operation.id, "retry_after": answer.retry_after / 1000.0}, id)
+        return encode_event(
+            "refused", {"id": operation.id, "retry_after": answer.retry_after / 1000.0}, id
+        )
     return encode_event("failed", {"id": operation.id, "reason": answer.text}, id)
--- a/yewrill/hooks.py
+++ b/yewrill/hooks.py
@@ -32,7 +32,9 @@
 
 class Hook(Protocol):
     name: str  # the door answers GET /_NAME with its status
-    calls: Mapping[str, Callable[[str], Awaitable[bool]]]  # PUT /_NAME/CALL?name=..., False: no such name
+    calls: Mapping[
+        str, Callable[[str], Awaitable[bool]]
+    ]  # PUT /_NAME/CALL?name=..., False: no such name
 
     def attach(self, around: Around) -> None: ...
 
@@ -45,9 +47,12 @@
 
 
 # Key of the configuration: package, class. In this order, so that each finds what it builds on.
-_HOOKS = {"members": ("yewrill.members", "Members"), "views": ("yewrill.views.facade", "Views"),
-          "ownership": ("yewrill.ownership", "Ownership"),
-          "zones": ("yewrill.zones", "Zones")}
+_HOOKS = {
+    "members": ("yewrill.members", "Members"),
+    "views": ("yewrill.views.facade", "Views"),
+    "ownership": ("yewrill.ownership", "Ownership"),
+    "zones": ("yewrill.zones", "Zones"),
+}
 
 
 def hooks_of(config: Config, around: Around) -> list[Hook]:
--- a/yewrill/interface.py
+++ b/yewrill/interface.py
@@ -104,7 +104,9 @@
             if spec.deadline <= 0:
                 raise ValueError(f"class {spec.name!r} has no deadline")
             if spec.kind >= self.kinds:
-                raise ValueError(f"class {spec.name!r} needs machine kind {spec.kind}, which is not listed")
+                raise ValueError(
+                    f"class {spec.name!r} needs machine kind {spec.kind}, which is not listed"
+                )
 
 
 # ---------------------------------------------------------------------------------------------- events
@@ -224,8 +226,18 @@
 
 
 Event = (
-    WorkerList | WorkerReturned | SettingsChanged | ZoneShares | JobArrived | AttemptStarted | AttemptProgress
-    | AnswerStarted | AttemptEnded | ProbeEnded | ClientLeft | TimerFired
+    WorkerList
+    | WorkerReturned
+    | SettingsChanged
+    | ZoneShares
+    | JobArrived
+    | AttemptStarted
+    | AttemptProgress
+    | AnswerStarted
+    | AttemptEnded
+    | ProbeEnded
+    | ClientLeft
+    | TimerFired
 )
 
 
--- a/yewrill/keeping.py
+++ b/yewrill/keeping.py
@@ -73,15 +73,23 @@
         self._remembered: dict[tuple[str, str, str], list[Sent]] = {}
         self._jobs: dict[Operation, _Job] = {}  # those that may not simply run twice
         self._ended: list[bytes] = []
-        self._run, self._count = os.urandom(6).hex(), 0  # names of records: this run's, and a number
+        self._run, self._count = (
+            os.urandom(6).hex(),
+            0,
+        )  # names of records: this run's, and a number
         self._list_changed = trio.Event()
 
     # -- begin and end
 
     def open_store(self) -> None:
         """Blocks. Raises StoreHeld while another run has it, OSError where there can be none."""
-        self._store = Store(self._config.path, mode=self._config.mode, segment_size=4 * 1024 * 1024,
-                            reserve=4 * 1024 * 1024, compaction_rate=4 * 1024 * 1024)
+        self._store = Store(
+            self._config.path,
+            mode=self._config.mode,
+            segment_size=4 * 1024 * 1024,
+            reserve=4 * 1024 * 1024,
+            compaction_rate=4 * 1024 * 1024,
+        )
 
     def close_store(self) -> None:
         """Blocks."""
@@ -113,15 +121,25 @@
             with suppress(ValueError, TypeError, KeyError):
                 if oldest < (at := float(value["at"])) <= now.wall:
                     back[key] = at
-        state = {"out": [key for key, _ in self._read(OUT)], "back": back, "lame": False, "list": None}
+        state = {
+            "out": [key for key, _ in self._read(OUT)],
+            "back": back,
+            "lame": False,
+            "list": None,
+        }
         with suppress(StoreError, ValueError, OSError):
             state["lame"] = store.get(LAME) is not None
             if (known := store.get(LIST)) is not None:
                 state["list"] = ujson.loads(known)
         self.recall_sent()
-        log.info("state-restored out=%d back=%d lame=%s list=%s attempts=%d", len(state["out"]), len(back),
-                 state["lame"], len(state["list"]["servers"]) if state["list"] else 0,
-                 sum(map(len, self._remembered.values())))
+        log.info(
+            "state-restored out=%d back=%d lame=%s list=%s attempts=%d",
+            len(state["out"]),
+            len(back),
+            state["lame"],
+            len(state["list"]["servers"]) if state["list"] else 0,
+            sum(map(len, self._remembered.values())),
+        )
         return state
 
     def recall_sent(self) -> None:
@@ -142,7 +160,7 @@
         try:
             for key, value in scan:
                 with suppress(ValueError):
-                    yield key[len(prefix):].decode(errors="replace"), ujson.loads(value)
+                    yield key[len(prefix) :].decode(errors="replace"), ujson.loads(value)
         except (StoreError, OSError) as error:
             log.error("state-unreadable records=%s: %s", prefix.decode(), error)
 
@@ -210,7 +228,7 @@
         held = number = 0
         if self._store is not None:
             for key, value in self._store.scan(prefix=prefix):
-                held, number = held + len(value), int(key[len(prefix):], 16)
+                held, number = held + len(value), int(key[len(prefix) :], 16)
         return held, number
 
     def first(self, prefix: bytes) -> tuple[bytes, bytes] | None:
@@ -248,9 +266,17 @@
         if found is None:
             del self._remembered[name]
             return
-        operation.ran_ago, operation.ran_zone, operation.ran_cell = found.ago, found.zone, found.cell
-        log.info("repeat-of-earlier-run operation=%s ago_ms=%.0f cell=%d", operation.id, found.ago,
-                 found.cell)
+        operation.ran_ago, operation.ran_zone, operation.ran_cell = (
+            found.ago,
+            found.zone,
+            found.cell,
+        )
+        log.info(
+            "repeat-of-earlier-run operation=%s ago_ms=%.0f cell=%d",
+            operation.id,
+            found.ago,
+            found.cell,
+        )
 
     async def promise(self, step: RouteStep) -> None:
         """Before an attempt's first byte: should we die from here on, the next run knows that it was out."""
@@ -263,7 +289,9 @@
             self._count += 1
             digest = hashlib.blake2b("\0".join(job.name).encode(), digest_size=16).hexdigest()
             job.record = f"sent/{digest}/{self._run}/{self._count}".encode()
-        batch = Batch().put(job.record, ujson.dumps(sent.encode()).encode(), int(sent.at.wall + job.window))
+        batch = Batch().put(
+            job.record, ujson.dumps(sent.encode()).encode(), int(sent.at.wall + job.window)
+        )
         await self._write(self._with_ended(batch))
 
     def ended(self, step: RouteStep, ending: Ending) -> None:
@@ -316,7 +344,9 @@
 
 
 def _note_back(batch: Batch, name: str, at: float) -> Batch:
-    return batch.put(BACK + name.encode(), ujson.dumps({"at": at}).encode(), int(at + REMEMBERED * 1000.0))
+    return batch.put(
+        BACK + name.encode(), ujson.dumps({"at": at}).encode(), int(at + REMEMBERED * 1000.0)
+    )
 
 
 def _key_of(operation: Operation) -> str:
--- a/yewrill/lab/cluster/audit.py
+++ b/yewrill/lab/cluster/audit.py
@@ -9,7 +9,9 @@
 from yewrill.lab.cluster.history import Line
 
 SLACK = 0.05  # seconds by which two parties may see one moment apart
-CLOSING = 0.3  # seconds by which a stand-in of a busy machine may see late that its connection was closed
+CLOSING = (
+    0.3  # seconds by which a stand-in of a busy machine may see late that its connection was closed
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +20,9 @@
 
     once: frozenset[str] = frozenset()  # kinds of jobs that may not run twice
     grace: float = 1.0  # after a drain, until nothing new may come
-    late: float = 1.0  # after a client's time, until an answer counts as late: a busy machine's own delay
+    late: float = (
+        1.0  # after a client's time, until an answer counts as late: a busy machine's own delay
+    )
     cold_multiple: float = 3.0
     cold_window: float = 1.0
     doubt: float = 4.0  # after a zone failed, in which it may still be left for it
@@ -36,9 +40,18 @@
 def audit(history: Iterable[Line], terms: Terms) -> list[Breach]:
     """All breaches, in the order of their time."""
     lines = sorted(history, key=lambda line: line["at"])
-    found = [*_answers(lines, terms), *_attempts(lines, terms), *_drains(lines, terms), *_cold(lines, terms),
-             *_plans(lines, terms), *_orders(lines, terms), *_owners(lines),
-             *_views(lines), *_sides(lines, terms), *_taken_out(lines, terms)]
+    found = [
+        *_answers(lines, terms),
+        *_attempts(lines, terms),
+        *_drains(lines, terms),
+        *_cold(lines, terms),
+        *_plans(lines, terms),
+        *_orders(lines, terms),
+        *_owners(lines),
+        *_views(lines),
+        *_sides(lines, terms),
+        *_taken_out(lines, terms),
+    ]
     return sorted(found, key=lambda breach: breach.lines[0]["at"] if breach.lines else 0.0)
 
 
@@ -67,8 +80,9 @@
             continue
         answers = [line for line in told if line["what"] == "answer"]
         due = sent["at"] + sent["timeout"] + terms.late
-        excused = any(sent["at"] - 1.0 <= line["at"] <= due for line in troubled[sent["to"]]) \
-            or any(began <= due and sent["at"] <= over for began, over in asleep[sent["to"]])
+        excused = any(
+            sent["at"] - 1.0 <= line["at"] <= due for line in troubled[sent["to"]]
+        ) or any(began <= due and sent["at"] <= over for began, over in asleep[sent["to"]])
         if len(answers) > 1:
             yield Breach("answered-twice", f"{job} has {len(answers)} answers", (sent, *answers))
         elif not answers and not excused and (due < end or len(told) > 1):
@@ -91,8 +105,16 @@
                 continue
             for other in running:
                 # Who closed it must have been seen to do so, but for the time that a closing takes.
-                closing = next((e for e in told if e["what"] == "end" and e["by"] == other["by"]
-                                and other["at"] < e["at"] <= line["at"] + CLOSING), None)
+                closing = next(
+                    (
+                        e
+                        for e in told
+                        if e["what"] == "end"
+                        and e["by"] == other["by"]
+                        and other["at"] < e["at"] <= line["at"] + CLOSING
+                    ),
+                    None,
+                )
                 if closing is None:
                     text = f"{job} runs at {other['by']} and {line['by']}"
                     yield Breach("overlap", text, (other, line))
@@ -110,10 +132,16 @@
             drained[line["by"]] = line
         elif line["what"] in ("cold", "serve"):
             drained.pop(line["by"], None)
-        elif line["what"] == "begin" and (drain := drained.get(line["by"])) is not None \
-                and line["at"] > drain["at"] + terms.grace + SLACK:
-            yield Breach("drained", f"{line['job']} began {line['at'] - drain['at']:.2f} s after the drain",
-                         (drain, line))
+        elif (
+            line["what"] == "begin"
+            and (drain := drained.get(line["by"])) is not None
+            and line["at"] > drain["at"] + terms.grace + SLACK
+        ):
+            yield Breach(
+                "drained",
+                f"{line['job']} began {line['at'] - drain['at']:.2f} s after the drain",
+                (drain, line),
+            )
 
 
 def _orders(lines: list[Line], terms: Terms) -> Iterable[Breach]:
@@ -125,8 +153,11 @@
         elif line["what"] == "begin":
             order = out.get((line["job"].partition("-")[0], line["by"]))
             if order is not None and line["at"] > order["at"] + terms.grace + SLACK:
-                yield Breach("forgotten", f"{line['job']} began at {line['by']}, which was taken out",
-                             (order, line))
+                yield Breach(
+                    "forgotten",
+                    f"{line['job']} began at {line['by']}, which was taken out",
+                    (order, line),
+                )
 
 
 def _owners(lines: list[Line]) -> Iterable[Breach]:
@@ -135,9 +166,15 @@
     for line in lines:
         if line["what"] == "owns":
             before = last.get(line["duty"])
-            if before is not None and line["number"] <= before["number"] and line["by"] != before["by"]:
-                text = (f"{before['by']} owned with {before['number']}, then {line['by']} with "
-                        f"{line['number']}")
+            if (
+                before is not None
+                and line["number"] <= before["number"]
+                and line["by"] != before["by"]
+            ):
+                text = (
+                    f"{before['by']} owned with {before['number']}, then {line['by']} with "
+                    f"{line['number']}"
+                )
                 yield Breach("two-owners", text, (before, line))
             last[line["duty"]] = line
 
@@ -155,8 +192,11 @@
             yield Breach("views-differ", text, (first, line))
         before = last.get(line["by"])
         if before is not None and line["number"] < before["number"]:
-            yield Breach("old-view", f"{line['by']} went from view {before['number']} to {line['number']}",
-                         (before, line))
+            yield Breach(
+                "old-view",
+                f"{line['by']} went from view {before['number']} to {line['number']}",
+                (before, line),
+            )
         last[line["by"]] = line
 
 
@@ -171,18 +211,32 @@
         if what == "view":
             in_view[who] = line
             newest.setdefault(line["number"], line)
-        elif what in ("no-view", "exit", "kill", "start", "pause"):  # asleep it does nothing by its view
+        elif what in (
+            "no-view",
+            "exit",
+            "kill",
+            "start",
+            "pause",
+        ):  # asleep it does nothing by its view
             in_view.pop(who, None)
         for name, held in in_view.items():
             after = newest.get(held["number"] + 1)
             later = newest.get(held["number"] + 2)
-            late = after is not None and name not in after["names"] \
+            late = (
+                after is not None
+                and name not in after["names"]
                 and line["at"] > after["at"] + terms.lease + terms.late
-            if (late or later is not None and line["at"] > later["at"] + terms.late) \
-                    and (name, held["number"]) not in told:
+            )
+            if (late or later is not None and line["at"] > later["at"] + terms.late) and (
+                name,
+                held["number"],
+            ) not in told:
                 told.add((name, held["number"]))
-                yield Breach("both-sides", f"{name} goes on in view {held['number']}, others without it",
-                             (held, after or later))
+                yield Breach(
+                    "both-sides",
+                    f"{name} goes on in view {held['number']}, others without it",
+                    (held, after or later),
+                )
 
 
 def _taken_out(lines: list[Line], terms: Terms) -> Iterable[Breach]:
@@ -202,8 +256,11 @@
             before = views.get(line["number"] - 1)
             for name in () if before is None else set(before["names"]) - set(line["names"]):
                 if line["at"] > unwell.get(name, -1.0):
-                    yield Breach("false-out", f"{name} is not in view {line['number']}, and was well",
-                                 (before, line))
+                    yield Breach(
+                        "false-out",
+                        f"{name} is not in view {line['number']}, and was well",
+                        (before, line),
+                    )
 
 
 def _cold(lines: list[Line], terms: Terms) -> Iterable[Breach]:
@@ -211,8 +268,13 @@
     one job of each dispatcher that had begun none yet."""
     colds = [line for line in lines if line["what"] == "cold"]
     for cold in colds:
-        begun = [line for line in lines if line["what"] == "begin" and line["by"] == cold["by"]
-                 and cold["at"] <= line["at"] < cold["at"] + cold["warm"]]
+        begun = [
+            line
+            for line in lines
+            if line["what"] == "begin"
+            and line["by"] == cold["by"]
+            and cold["at"] <= line["at"] < cold["at"] + cold["warm"]
+        ]
         for i, first in enumerate(begun):
             window = [line for line in begun[i:] if line["at"] < first["at"] + terms.cold_window]
             age = window[-1]["at"] - cold["at"]
@@ -243,7 +305,9 @@
                 yield Breach("old-plan", text, (before, line))
             for zone, share in line["shares"].items():
                 was = 1.0 if before is None else before["shares"].get(zone, 1.0)
-                if zone in line.get("back", ()):  # a step of the way back, met by one that was ahead of it
+                if zone in line.get(
+                    "back", ()
+                ):  # a step of the way back, met by one that was ahead of it
                     continue
                 if share < was and line["at"] > failing.get(zone, -1.0) and before is not None:
                     yield Breach("false-leave", f"{line['by']} leaves {zone}, which works", (line,))
--- a/yewrill/lab/cluster/commands.py
+++ b/yewrill/lab/cluster/commands.py
@@ -58,7 +58,11 @@
         try:
             trio.run(story, clock=slow)
         except (trio.TooSlowError, AssertionError, BaseExceptionGroup) as error:
-            return False, Unfinished(f"{name} seed {seed}: {error!r}"), rigs[0].history.lines if rigs else []
+            return (
+                False,
+                Unfinished(f"{name} seed {seed}: {error!r}"),
+                rigs[0].history.lines if rigs else [],
+            )
         found = audit(rigs[0].history.lines, rigs[0].terms)
         return not found, found, rigs[0].history.lines
 
@@ -90,7 +94,9 @@
 @click.argument("scenario", type=click.Choice([*ALL, "all"]))
 @click.option("--seed", default=1, show_default=True)
 @click.option("--seeds", default=1, show_default=True, help="So many seeds, from --seed on.")
-@click.option("--keep", type=click.Path(file_okay=False), help="Where histories go; else a new directory.")
+@click.option(
+    "--keep", type=click.Path(file_okay=False), help="Where histories go; else a new directory."
+)
 def run(scenario: str, seed: int, seeds: int, keep: str | None) -> None:
     """Play a scenario, or all, and audit what happened."""
     base = Path(keep or tempfile.mkdtemp(prefix="yewrill-lab-"))
@@ -115,7 +121,10 @@
 def read_again(directory: str) -> None:
     """Audit a kept history."""
     lines = read(Path(directory) / "history.jsonl")
-    told = next((line for line in lines if line["what"] == "terms"), {"once": ["once"], "cold_multiple": 3.0})
+    told = next(
+        (line for line in lines if line["what"] == "terms"),
+        {"once": ["once"], "cold_multiple": 3.0},
+    )
     found = audit(lines, Terms(once=frozenset(told["once"]), cold_multiple=told["cold_multiple"]))
     _tell(directory, found, Path(directory))
     sys.exit(bool(found))
@@ -124,18 +133,25 @@
 @cluster.command()
 @click.option("--dispatchers", default=3, show_default=True, type=click.IntRange(1, 24))
 @click.option("--zones", default=3, show_default=True, type=click.IntRange(1, 8))
-@click.option("--rate", default=8.0, show_default=True, help="Jobs a second and dispatcher; 0: none.")
+@click.option(
+    "--rate", default=8.0, show_default=True, help="Jobs a second and dispatcher; 0: none."
+)
 def up(dispatchers: int, zones: int, rate: float) -> None:
     """Leave a small installation running until Ctrl-C."""
+
     async def stay() -> None:
         plan = Plan(dispatchers=dispatchers, zones=zones, rate=rate)
         async with installation(Path(tempfile.mkdtemp(prefix="yewrill-lab-")), plan) as rig:
             await rig.started()
             for one in rig.living():
-                click.echo(f"{one.name} {one.zone}: clients {one.listen[0]}:{one.listen[1]}, "
-                           f"door http://{one.door[0]}:{one.door[1]}/_zones, process {one.process.pid}")
-            click.echo(f"try: curl -d x -H 'X-Request-ID: 1' -H 'X-Tenant-Id: acme' "
-                       f"http://127.0.0.1:{rig.living()[0].listen[1]}/tour")
+                click.echo(
+                    f"{one.name} {one.zone}: clients {one.listen[0]}:{one.listen[1]}, "
+                    f"door http://{one.door[0]}:{one.door[1]}/_zones, process {one.process.pid}"
+                )
+            click.echo(
+                f"try: curl -d x -H 'X-Request-ID: 1' -H 'X-Tenant-Id: acme' "
+                f"http://127.0.0.1:{rig.living()[0].listen[1]}/tour"
+            )
             if rate:
                 rig.traffic()
             await trio.sleep_forever()
--- a/yewrill/lab/cluster/entry.py
+++ b/yewrill/lab/cluster/entry.py
@@ -50,7 +50,9 @@
 def through_hub(port: int) -> None:
     real, hub = trio.socket.socket, ("127.0.0.1", port)
 
-    def made(family: int = trio.socket.AF_INET, kind: int = trio.socket.SOCK_STREAM, *more: Any) -> Any:
+    def made(
+        family: int = trio.socket.AF_INET, kind: int = trio.socket.SOCK_STREAM, *more: Any
+    ) -> Any:
         found = real(family, kind, *more)
         return _Through(found, hub) if kind == trio.socket.SOCK_DGRAM else found
 
@@ -66,8 +68,11 @@
     """All clocks of this process, the event loop's too, and a word to the rig when the loop is late."""
     slow, run = Slow(pace, since), trio.run
     time.monotonic, time.time = slow.current_time, slow.wall
-    trio.run = partial(run, clock=slow, instruments=[
-        Lateness(slow, lambda late: os.write(2, f"{WORD}{late:.3f}\n".encode()))])  # a line in one piece
+    trio.run = partial(
+        run,
+        clock=slow,
+        instruments=[Lateness(slow, lambda late: os.write(2, f"{WORD}{late:.3f}\n".encode()))],
+    )  # a line in one piece
 
 
 # -- disks
@@ -89,7 +94,7 @@
         if self._fault == "enospc" and self._count[0] > 20:
             raise OSError(errno.ENOSPC, "the rig's disk is full")
         if self._fault == "torn" and self._count[0] % 16 == 0 and len(data) > 1:
-            self._real.write(data[:len(data) // 2], offset)
+            self._real.write(data[: len(data) // 2], offset)
             raise OSError(errno.EIO, "the rig's disk tore a write")
         if self._fault == "flip" and self._count[0] % 64 == 0:
             data = bytes((data[0] ^ 1,)) + data[1:]
@@ -180,7 +185,9 @@
 
     def eager(self: Any, job: Any, need: float) -> Any:
         fleet = self.fleet
-        fresh = [w for w in fleet.workers.values() if w.usable and 0 < w.launched > fleet.now - 1500.0]
+        fresh = [
+            w for w in fleet.workers.values() if w.usable and 0 < w.launched > fleet.now - 1500.0
+        ]
         return fleet.rng.choice(fresh) if fresh else worker_for(self, job, need)
 
     Choice.worker_for = eager
@@ -243,21 +250,36 @@
 
 
 BREAKS = {
-    "overlap": _overlap, "answer-twice": _answer_twice, "drain": _drain, "again": _again,
-    "return-at-once": _return_at_once, "old-plan": _old_plan, "minority": _minority,
-    "own-lease": _own_lease, "accuse": _accuse}
+    "overlap": _overlap,
+    "answer-twice": _answer_twice,
+    "drain": _drain,
+    "again": _again,
+    "return-at-once": _return_at_once,
+    "old-plan": _old_plan,
+    "minority": _minority,
+    "own-lease": _own_lease,
+    "accuse": _accuse,
+}
 DISKS = ("eio", "enospc", "slow", "torn", "flip", "lies")
 
 
 @click.command()
 @click.option("--hub", type=int, help="The port of the rig's hub for datagrams.")
-@click.option("--pace", nargs=2, type=float, default=(1.0, 0.0), help="Its length of a second; since when.")
+@click.option(
+    "--pace", nargs=2, type=float, default=(1.0, 0.0), help="Its length of a second; since when."
+)
 @click.option("--clock", type=float, default=0.0, help="Seconds by which the wall clock is off.")
 @click.option("--clock-rate", type=float, default=1.0)
 @click.option("--disk", type=click.Choice(DISKS))
 @click.option("--break", "broken", type=click.Choice(sorted(BREAKS)))
-def main(hub: int | None, pace: tuple[float, float], clock: float, clock_rate: float, disk: str | None,
-         broken: str | None) -> None:
+def main(
+    hub: int | None,
+    pace: tuple[float, float],
+    clock: float,
+    clock_rate: float,
+    disk: str | None,
+    broken: str | None,
+) -> None:
     """One dispatcher of the rig."""
     slow_down(*pace)
     if hub:
--- a/yewrill/lab/cluster/links.py
+++ b/yewrill/lab/cluster/links.py
@@ -13,7 +13,9 @@
 
 Address = tuple[str, int]
 CHUNK = 65536
-HEAD = struct.Struct("!4sH")  # of a datagram on its way to or from the hub: the other party's address
+HEAD = struct.Struct(
+    "!4sH"
+)  # of a datagram on its way to or from the hub: the other party's address
 
 
 @dataclass(slots=True)
@@ -35,7 +37,7 @@
 
 def unpack(data: bytes) -> tuple[Address, bytes]:
     host, port = HEAD.unpack_from(data)
-    return (socket.inet_ntoa(host), port), data[HEAD.size:]
+    return (socket.inet_ntoa(host), port), data[HEAD.size :]
 
 
 def reset(stream: trio.SocketStream) -> None:
@@ -62,8 +64,14 @@
     def way(self, a: str, b: str) -> Way:
         return self._ways.get((a, b)) or Way()
 
-    def set(self, ones: Iterable[str], others: Iterable[str], *, both: bool = True,
-            **faults: float | bool) -> None:
+    def set(
+        self,
+        ones: Iterable[str],
+        others: Iterable[str],
+        *,
+        both: bool = True,
+        **faults: float | bool,
+    ) -> None:
         """Change the ways from some parties to others, and back."""
         others = list(others)
         for a in ones:
@@ -89,6 +97,7 @@
 
     async def relay(self, a: str, b: str, target: Address) -> Address:
         """Where `a` reaches `b` that listens at `target`."""
+
         async def join(near: trio.SocketStream) -> None:
             ends = self._open.setdefault((a, b), set())
             try:
@@ -104,12 +113,21 @@
             reset(near)
             reset(far)
 
-        listeners = await self._nursery.start(lambda task_status: trio.serve_tcp(
-            join, 0, host="127.0.0.1", handler_nursery=self._nursery, task_status=task_status))
+        listeners = await self._nursery.start(
+            lambda task_status: trio.serve_tcp(
+                join, 0, host="127.0.0.1", handler_nursery=self._nursery, task_status=task_status
+            )
+        )
         return listeners[0].socket.getsockname()[:2]
 
-    async def _pump(self, source: trio.SocketStream, sink: trio.SocketStream, a: str, b: str,
-                    scope: trio.CancelScope) -> None:
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        a: str,
+        b: str,
+        scope: trio.CancelScope,
+    ) -> None:
         with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             while data := await source.receive_some(CHUNK):
                 while (way := self.way(a, b)).stalled:
@@ -154,7 +172,9 @@
             for _ in range(2 if self._rng.random() < way.twice else 1):
                 delay = way.delay + way.jitter * self._rng.expovariate(1.0)
                 if delay or way.stalled:
-                    self._nursery.start_soon(self._later, delay, a, b, target, pack(source[:2], data))
+                    self._nursery.start_soon(
+                        self._later, delay, a, b, target, pack(source[:2], data)
+                    )
                 else:
                     await self._send(target, pack(source[:2], data))
 
--- a/yewrill/lab/cluster/pace.py
+++ b/yewrill/lab/cluster/pace.py
@@ -22,7 +22,10 @@
 MOST = 64.0  # the slowest pace
 FIRMLY = 1.3  # times ALONE, up to which a machine counts as one with nothing else to do
 TOLD = 0.1  # seconds by which a loop is late before it says so
-LATE, OFTEN = 0.4, 2.5  # seconds late at once, and in all, from which on an installation was starved
+LATE, OFTEN = (
+    0.4,
+    2.5,
+)  # seconds late at once, and in all, from which on an installation was starved
 HOPELESS = 10.0  # seconds late in all, from which on an installation is given up before its end
 FIRST = 4.0  # the slowest pace to begin with: what a moment measures may be far too much
 MARGIN = 1.5  # times what a machine measures when others are on it: those do not stand still
@@ -94,9 +97,15 @@
     history = list(history)
     began = next((line["at"] for line in history if line["what"] == "sent"), 0.0)
     resumed = [line for line in history if line["what"] == "resume"]
-    late = [line["seconds"] for line in history if line["what"] == "late" and line["at"] >= began
-            and not any(other["by"] == line["by"] and 0.0 <= line["at"] - other["at"] < 1.0
-                        for other in resumed)]
+    late = [
+        line["seconds"]
+        for line in history
+        if line["what"] == "late"
+        and line["at"] >= began
+        and not any(
+            other["by"] == line["by"] and 0.0 <= line["at"] - other["at"] < 1.0 for other in resumed
+        )
+    ]
     return sum(late) if late and (max(late) >= LATE or sum(late) >= OFTEN) else 0.0
 
 
@@ -104,7 +113,9 @@
     """How many times slower than one with nothing else to do this machine is for work like the rig's: small
     pieces, with a sleep between."""
     began = time.monotonic()
-    head = h11.Request(method="POST", target="/tour", headers=[("Host", "x"), ("Content-Length", "0")])
+    head = h11.Request(
+        method="POST", target="/tour", headers=[("Host", "x"), ("Content-Length", "0")]
+    )
     for _ in range(60):
         time.sleep(0.001)
         for _ in range(15):
@@ -131,6 +142,9 @@
         if well or not late:
             return outcome
         _learned = min(MOST, 2.0 * slow.pace)
-        print(f"{name}: starved at pace {slow.pace:.1f}, {late:.1f} s late in all; "
-              + (f"played again at {_learned:.1f}" if tries < TRIES else "given up"), file=sys.stderr)
+        print(
+            f"{name}: starved at pace {slow.pace:.1f}, {late:.1f} s late in all; "
+            + (f"played again at {_learned:.1f}" if tries < TRIES else "given up"),
+            file=sys.stderr,
+        )
     raise Starved(f"{name}: {TRIES} times, at last at pace {slow.pace:.1f}")
--- a/yewrill/lab/cluster/rig.py
+++ b/yewrill/lab/cluster/rig.py
@@ -62,7 +62,11 @@
 def free_port() -> int:
     """A port that nobody has now; below those that the system gives out by itself, so that none gets it."""
     for port in _ports:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp, suppress(OSError):
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+            suppress(OSError),
+        ):
             tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
             return port
@@ -102,7 +106,9 @@
         self.dispatchers: dict[str, Dispatcher] = {}
         self._hub = 0
         self.terms = Terms(once=frozenset({"once"}), cold_multiple=plan.cold_multiple)
-        self.history.note("rig", "terms", once=sorted(self.terms.once), cold_multiple=plan.cold_multiple)
+        self.history.note(
+            "rig", "terms", once=sorted(self.terms.once), cold_multiple=plan.cold_multiple
+        )
         self.clock = clock()
 
     # -- building
@@ -118,13 +124,22 @@
         places: dict[str, Address] = {}
         for i in range(plan.dispatchers):
             name, zone = f"d{i}", self.zones[i % plan.zones]
-            seen = {p.name: (p, await self.links.relay(name, p.name, p.address))
-                    for p in self.profilers.values()}
+            seen = {
+                p.name: (p, await self.links.relay(name, p.name, p.address))
+                for p in self.profilers.values()
+            }
             discovery = Discovery(seen)
             at = await stack.enter_async_context(listening(self.nursery, discovery.handle))
-            one = Dispatcher(name, zone, self.directory / f"{name}.json", ("127.0.0.1", free_port()),
-                             ("127.0.0.1", free_port()), ("127.0.0.1", free_port()), discovery,
-                             options.get(name, options.get("all", ())))
+            one = Dispatcher(
+                name,
+                zone,
+                self.directory / f"{name}.json",
+                ("127.0.0.1", free_port()),
+                ("127.0.0.1", free_port()),
+                ("127.0.0.1", free_port()),
+                discovery,
+                options.get(name, options.get("all", ())),
+            )
             self.dispatchers[name] = one
             for kept in ("state", "owns", "views"):  # by one that was played here before
                 shutil.rmtree(self.directory / f"{name}.{kept}", ignore_errors=True)
@@ -135,30 +150,76 @@
 
     def _config(self, one: Dispatcher, discovery: Address) -> dict[str, Any]:
         plan = self.plan
-        kinds = [{"name": name, "aim": 300.0, "deadline": 1e3 * TIMEOUT, "repeat": repeat, "value": 1.0}
-                 for name, repeat in (("tour", "pure"), ("once", "side_effect"))]
+        kinds = [
+            {"name": name, "aim": 300.0, "deadline": 1e3 * TIMEOUT, "repeat": repeat, "value": 1.0}
+            for name, repeat in (("tour", "pure"), ("once", "side_effect"))
+        ]
         peers = [f"127.0.0.1:{d.members[1]}" for d in self.dispatchers.values() if d is not one][:3]
         areas = [one.zone, *(zone for zone in self.zones if zone != one.zone)]
         return {
-            "name": one.name, "listen": f"127.0.0.1:{one.listen[1]}", "mgmt": f"127.0.0.1:{one.door[1]}",
-            "discovery": f"127.0.0.1:{discovery[1]}", "seed": str(self.seed),
+            "name": one.name,
+            "listen": f"127.0.0.1:{one.listen[1]}",
+            "mgmt": f"127.0.0.1:{one.door[1]}",
+            "discovery": f"127.0.0.1:{discovery[1]}",
+            "seed": str(self.seed),
             "settings": {
-                "areas": areas, "kinds": ["std"], "zone": 0, "instances": plan.dispatchers, "tick": 2.0,
-                "counted_by": "work", "request_classes": kinds,
-                "limits": {"try_limit": 3, "connect_timeout": 150.0, "idle_close": 10000.0, "cancel": True,
-                           "max_retry_after": 2000.0, "retry_after": True, "may_probe": False},
+                "areas": areas,
+                "kinds": ["std"],
+                "zone": 0,
+                "instances": plan.dispatchers,
+                "tick": 2.0,
+                "counted_by": "work",
+                "request_classes": kinds,
+                "limits": {
+                    "try_limit": 3,
+                    "connect_timeout": 150.0,
+                    "idle_close": 10000.0,
+                    "cancel": True,
+                    "max_retry_after": 2000.0,
+                    "retry_after": True,
+                    "may_probe": False,
+                },
                 "specifics": {"tells_start": True, "queue_order": "fifo"},
-                "rules": {"answer_slack": 8.0, "fall": 1000.0, "fall_multiple": plan.cold_multiple,
-                          "start_capacity": 0.3, "warm_after": 2000.0, "stop_sending_within": 1000.0},
+                "rules": {
+                    "answer_slack": 8.0,
+                    "fall": 1000.0,
+                    "fall_multiple": plan.cold_multiple,
+                    "start_capacity": 0.3,
+                    "warm_after": 2000.0,
+                    "stop_sending_within": 1000.0,
+                },
                 "parties": [{"name": "acme", "quota_per_s": 1e5, "share": 1.0}],
             },
-            "members": {"listen": f"127.0.0.1:{one.members[1]}", "peers": peers, "keys": [KEY],
-                        "zone": one.zone, "interval": plan.members_interval, "bytes_per_s": 100_000},
+            "members": {
+                "listen": f"127.0.0.1:{one.members[1]}",
+                "peers": peers,
+                "keys": [KEY],
+                "zone": one.zone,
+                "interval": plan.members_interval,
+                "bytes_per_s": 100_000,
+            },
             "zones": {"hold": plan.hold, "step": plan.step},
-            **({"views": {"founders": [f"d{i}" for i in range(min(3, plan.dispatchers))],
-                          "dir": str(self.directory / f"{one.name}.views")}} if plan.views else {}),
-            **({"ownership": {"voters": [f"d{i}" for i in range(plan.voters)], "span": 2.0,
-                              "dir": str(self.directory / f"{one.name}.owns")}} if plan.voters else {}),
+            **(
+                {
+                    "views": {
+                        "founders": [f"d{i}" for i in range(min(3, plan.dispatchers))],
+                        "dir": str(self.directory / f"{one.name}.views"),
+                    }
+                }
+                if plan.views
+                else {}
+            ),
+            **(
+                {
+                    "ownership": {
+                        "voters": [f"d{i}" for i in range(plan.voters)],
+                        "span": 2.0,
+                        "dir": str(self.directory / f"{one.name}.owns"),
+                    }
+                }
+                if plan.voters
+                else {}
+            ),
             **({"state_dir": str(self.directory / f"{one.name}.state")} if plan.state else {}),
         }
 
@@ -167,8 +228,17 @@
     def start(self, name: str) -> None:
         one = self.dispatchers[name]
         one.ready, one.plan, one.view = False, {"number": 0, "shares": {}}, None
-        command = [sys.executable, "-m", "yewrill.lab.cluster.entry", "--hub", str(self._hub),
-                   "--pace", str(self.clock.pace), str(self.clock.since), *one.options]
+        command = [
+            sys.executable,
+            "-m",
+            "yewrill.lab.cluster.entry",
+            "--hub",
+            str(self._hub),
+            "--pace",
+            str(self.clock.pace),
+            str(self.clock.since),
+            *one.options,
+        ]
         environment = {**os.environ, "BALANCER_CONFIG": str(one.path), "YEWRILL_LOG": "INFO"}
         one.process = subprocess.Popen(command, env=environment, stderr=subprocess.PIPE)
         self.history.note(name, "start")
@@ -205,8 +275,12 @@
             one.view = None
             self.history.note(one.name, "no-view", last=int(found[1]), why=found[2])
         elif (found := _OWNER.search(line)) is not None:
-            self.history.note(one.name, "owns" if found[3] == "is ours" else "owns-no-more", duty=found[1],
-                              number=int(found[2]))
+            self.history.note(
+                one.name,
+                "owns" if found[3] == "is ours" else "owns-no-more",
+                duty=found[1],
+                number=int(found[2]),
+            )
         elif line.startswith(WORD):
             self.history.put(one.name, "late", seconds=float(line.removeprefix(WORD)))
         elif " ERROR " in line or "Traceback" in line:
@@ -269,8 +343,15 @@
         """Clients for dispatchers, all by default."""
         for name in self.dispatchers if names is None else names:
             seed = rendezvous.number(f"{self.seed}/{name}")  # hash() is another one in each process
-            clients = Clients(name, self.dispatchers[name].listen, self.history, seed, self.plan.rate,
-                              self.plan.kinds, TIMEOUT)
+            clients = Clients(
+                name,
+                self.dispatchers[name].listen,
+                self.history,
+                seed,
+                self.plan.rate,
+                self.plan.kinds,
+                TIMEOUT,
+            )
             self.nursery.start_soon(clients.run, self.nursery)
 
     # -- zones
@@ -333,14 +414,18 @@
         self.links.heal()
         self.history.note("rig", "healed")
 
-    async def viewed(self, names: Iterable[str] | None = None, among: Iterable[str] | None = None) -> None:
+    async def viewed(
+        self, names: Iterable[str] | None = None, among: Iterable[str] | None = None
+    ) -> None:
         """Wait until dispatchers, all that live by default, are in one view of just these names."""
         names = frozenset(d.name for d in self.living()) if names is None else frozenset(names)
         asked = [self.dispatchers[name] for name in (names if among is None else among)]
 
         def same() -> bool:
-            return all(d.view is not None and d.view[1] == names for d in asked) \
+            return (
+                all(d.view is not None and d.view[1] == names for d in asked)
                 and len({d.view[0] for d in asked if d.view is not None}) == 1
+            )
 
         await self.until(same, 60.0)
 
@@ -373,6 +458,7 @@
 
     async def served(self, count: int) -> None:
         """Wait until so many more requests are answered with 200."""
+
         def done() -> int:
             return sum(line["status"] == 200 for line in self.history.of("answer"))
 
@@ -396,8 +482,12 @@
 
 
 @asynccontextmanager
-async def installation(directory: Path, plan: Plan | None = None, seed: int = 1,
-                       options: dict[str, tuple[str, ...]] | None = None) -> AsyncIterator[Rig]:
+async def installation(
+    directory: Path,
+    plan: Plan | None = None,
+    seed: int = 1,
+    options: dict[str, tuple[str, ...]] | None = None,
+) -> AsyncIterator[Rig]:
     """A rig whose dispatchers are configured, not started; `options`: of `entry`, by dispatcher or `all`."""
     async with trio.open_nursery() as nursery:
         rig = Rig(plan or Plan(), seed, directory, nursery)
--- a/yewrill/lab/cluster/scenarios.py
+++ b/yewrill/lab/cluster/scenarios.py
@@ -32,6 +32,7 @@
         one = Scenario(story, plan or Plan(), options)
         ALL[one.name] = one
         return story
+
     return told
 
 
@@ -238,7 +239,9 @@
     assert more <= 2 * len(rig.dispatchers) * rig.plan.slots
     for name in rig.dispatchers:
         await rig.ask(name, "/_zones/return?name=z1", "PUT")
-    await rig.until(lambda: any(p.served > before[p.name] + 3 * rig.plan.slots for p in rig.of("z1")))
+    await rig.until(
+        lambda: any(p.served > before[p.name] + 3 * rig.plan.slots for p in rig.of("z1"))
+    )
 
 
 @scenario(Plan(dispatchers=9, voters=3))
--- a/yewrill/lab/cluster/standins.py
+++ b/yewrill/lab/cluster/standins.py
@@ -92,9 +92,14 @@
 
     def restart(self) -> None:
         """It begins anew, cold, its connections broken."""
-        self.mode, self.cold_from, self.started_ms = "well", trio.current_time(), pace.clock().wall() * 1e3
-        self.history.note(self.name, "cold", slots=self.slots, start=self.start_capacity,
-                          warm=self.warm_after)
+        self.mode, self.cold_from, self.started_ms = (
+            "well",
+            trio.current_time(),
+            pace.clock().wall() * 1e3,
+        )
+        self.history.note(
+            self.name, "cold", slots=self.slots, start=self.start_capacity, warm=self.warm_after
+        )
         self.drop()
 
     def drop(self) -> None:
@@ -147,7 +152,9 @@
             if self.mode == "mute":
                 await trio.sleep_forever()
             self.served += self.mode == "well"
-            await self._say(http, job, "failed" if self.mode == "failing" else "done", result=self.name)
+            await self._say(
+                http, job, "failed" if self.mode == "failing" else "done", result=self.name
+            )
         await http.send(h11.EndOfMessage())
         return "done"
 
@@ -157,8 +164,16 @@
         await http.send(h11.Data(line.encode()))
 
     def entry(self, address: Address) -> dict:
-        return {"id": self.name, "addr": f"{address[0]}:{address[1]}", "zone": self.zone, "kind": "std",
-                "cell": 0, "state": self.state, "weight": 1.0, "started_ms": self.started_ms}
+        return {
+            "id": self.name,
+            "addr": f"{address[0]}:{address[1]}",
+            "zone": self.zone,
+            "kind": "std",
+            "cell": 0,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": self.started_ms,
+        }
 
 
 class Discovery:
@@ -186,8 +201,11 @@
                         while known >= self.version:
                             await self._changed.wait()
                     await trio.sleep(self.lag)
-                servers = [profiler.entry(address) for profiler, address in self._profilers.values()
-                           if profiler.zone not in self.hidden]
+                servers = [
+                    profiler.entry(address)
+                    for profiler, address in self._profilers.values()
+                    if profiler.zone not in self.hidden
+                ]
                 body = {"version": self.version, "full": True, "servers": servers}
                 await http.answer(200, ujson.dumps(body).encode())
                 http.parser.start_next_cycle()
@@ -197,8 +215,16 @@
 class Clients:
     """Open-loop traffic for one dispatcher: each request on a connection of its own, tried once."""
 
-    def __init__(self, name: str, address: Address, history: History, seed: int, rate: float,
-                 kinds: Mapping[str, float], timeout: float):
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        history: History,
+        seed: int,
+        rate: float,
+        kinds: Mapping[str, float],
+        timeout: float,
+    ):
         self.name, self.address, self.rate = name, address, rate
         self._history, self._rng = history, random.Random(seed)
         self._kinds, self._timeout, self._count = kinds, timeout, 0
@@ -218,11 +244,21 @@
                 http = Http(stream, h11.CLIENT)
                 try:
                     note("client", "sent", job=job, kind=kind, to=self.name, timeout=self._timeout)
-                    headers = {"Host": "x", "X-Request-ID": job, "X-Tenant-Id": "acme", "Content-Length": "2",
-                               "X-Timeout-Ms": str(int(self._timeout * 1000)), "Connection": "close"}
+                    headers = {
+                        "Host": "x",
+                        "X-Request-ID": job,
+                        "X-Tenant-Id": "acme",
+                        "Content-Length": "2",
+                        "X-Timeout-Ms": str(int(self._timeout * 1000)),
+                        "Connection": "close",
+                    }
                     await http.send(
-                        h11.Request(method="POST", target=f"/{kind}", headers=list(headers.items())),
-                        h11.Data(b"{}"), h11.EndOfMessage())
+                        h11.Request(
+                            method="POST", target=f"/{kind}", headers=list(headers.items())
+                        ),
+                        h11.Data(b"{}"),
+                        h11.EndOfMessage(),
+                    )
                     status, answers = 0, 0
                     while not isinstance(event := await http.event(), h11.ConnectionClosed | type):
                         if isinstance(event, h11.Response):
@@ -231,7 +267,9 @@
                             note("client", "answer", job=job, status=status)
                             break
                     with trio.move_on_after(0.05):  # an answer after the answer
-                        if extra := http.parser.trailing_data[0] or await stream.receive_some(CHUNK):
+                        if extra := http.parser.trailing_data[0] or await stream.receive_some(
+                            CHUNK
+                        ):
                             note("client", "answer", job=job, status=-len(extra))
                 finally:
                     reset(stream)
--- a/yewrill/lab/fleet.py
+++ b/yewrill/lab/fleet.py
@@ -44,7 +44,9 @@
     launched: float = 0.0  # clock time of its start, 0: long ago
     running: set[Attempt] = field(default_factory=set)
     queue: deque[Attempt] = field(default_factory=deque)
-    begun: list[tuple[float, float]] = field(default_factory=list)  # when cold: time, and work in seconds
+    begun: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # when cold: time, and work in seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,12 +67,25 @@
 class Fleet(ZoneNet):
     """Members each with a module of its own; `load` is the part of all slots that the work asks for."""
 
-    def __init__(self, seed: int, members: int, zones: int, *, load: float = 0.6, plan: bool = True,
-                 model: Model | None = None, rules: Rules | None = None, path: Path | None = None):
+    def __init__(
+        self,
+        seed: int,
+        members: int,
+        zones: int,
+        *,
+        load: float = 0.6,
+        plan: bool = True,
+        model: Model | None = None,
+        rules: Rules | None = None,
+        path: Path | None = None,
+    ):
         self.model = model or Model()
         model = self.model
-        self.workers = {f"w{z}-{i}": Worker(f"w{z}-{i}", z, model.slots)
-                        for z in range(zones) for i in range(model.workers)}
+        self.workers = {
+            f"w{z}-{i}": Worker(f"w{z}-{i}", z, model.slots)
+            for z in range(zones)
+            for i in range(model.workers)
+        }
         self.modules: dict[str, Dispatcher] = {}
         self.jobs: dict[tuple[str, str], dict[str, Any]] = {}
         self.answered: list[tuple[float, str, float]] = []  # when, how, the part of its worth
@@ -78,7 +93,9 @@
         self.sent_at: dict[int, list[float]] = {z: [] for z in range(zones)}
         rate = load * zones * model.workers * model.slots / model.run / members
         self.total = rate * members
-        super().__init__(seed, members, zones, rate=rate, load=load, path=path, rules=rules, plan=plan)
+        super().__init__(
+            seed, members, zones, rate=rate, load=load, path=path, rules=rules, plan=plan
+        )
         self.capacity = dict.fromkeys(self.zones, float(model.workers * model.slots))
         for member in self.members.values():
             self._come(member)
@@ -87,10 +104,20 @@
         model, index = self.model, len(self.modules)
         spec = api.JobClass("job", 1e3 * model.aim, 1e3 * model.deadline)
         settings = api.Settings(
-            [spec], [api.Tenant("acme", 1.2 * self.total)], zone=int(zone[1:]), index=index, tells_start=True,
-            may_cancel=True, fifo=True, max_attempts=3, max_retry_after=1000.0,
-            cold_multiple=model.cold_multiple, cold_window=1e3 * model.cold_window,
-            start_capacity=model.start_capacity, warm_after=1e3 * model.warm_after)
+            [spec],
+            [api.Tenant("acme", 1.2 * self.total)],
+            zone=int(zone[1:]),
+            index=index,
+            tells_start=True,
+            may_cancel=True,
+            fifo=True,
+            max_attempts=3,
+            max_retry_after=1000.0,
+            cold_multiple=model.cold_multiple,
+            cold_window=1e3 * model.cold_window,
+            start_capacity=model.start_capacity,
+            warm_after=1e3 * model.warm_after,
+        )
         self.modules[name] = Dispatcher(settings, self.rng.getrandbits(32))
         member = super().start(name, address, zone, rate)
         member.machine.busy = 0.0
@@ -104,14 +131,23 @@
     def begin(self) -> Fleet:
         """Tell every module how many they are, and the list."""
         for name, module in self.modules.items():
-            settings = api.Settings(**{**{s: getattr(module.settings, s) for s in api.Settings.__slots__},
-                                       "dispatchers": len(self.modules)})
+            settings = api.Settings(
+                **{
+                    **{s: getattr(module.settings, s) for s in api.Settings.__slots__},
+                    "dispatchers": len(self.modules),
+                }
+            )
             self._feed(self.members[name], api.SettingsChanged(settings), self._list())
         return self
 
     def _list(self) -> api.WorkerList:
-        return api.WorkerList(api.LIST_FULL, [
-            api.WorkerEntry(w.name, w.zone, launched=1e3 * w.launched) for w in self.workers.values()])
+        return api.WorkerList(
+            api.LIST_FULL,
+            [
+                api.WorkerEntry(w.name, w.zone, launched=1e3 * w.launched)
+                for w in self.workers.values()
+            ],
+        )
 
     # -- faults
 
@@ -136,7 +172,9 @@
     # -- work
 
     def _work(self, member: Member) -> None:
-        shares = {int(z[1:]): s for z, s in member.machine.shares().items()} if self.with_plan else {}
+        shares = (
+            {int(z[1:]): s for z, s in member.machine.shares().items()} if self.with_plan else {}
+        )
         module = self.modules[member.name]
         if shares != module.fleet.shares:
             self._feed(member, api.ZoneShares(shares))
@@ -145,10 +183,14 @@
         def come() -> None:
             if not member.dead:
                 name = f"j{len(self.jobs)}"
-                self.jobs[member.name, name] = {"at": self.now, "live": None, "run": self.model.run * (
-                    0.5 + self.rng.random())}
+                self.jobs[member.name, name] = {
+                    "at": self.now,
+                    "live": None,
+                    "run": self.model.run * (0.5 + self.rng.random()),
+                }
                 self._feed(member, api.JobArrived(name, 0, 1e3 * (self.now + self.model.deadline)))
                 self._come(member)
+
         self.at(self.now + self.rng.expovariate(member.rate), come)
 
     def _feed(self, member: Member, *events: api.Event) -> None:
@@ -157,8 +199,10 @@
         for action in self.modules[member.name].handle(1e3 * self.now, list(events)):
             kind = type(action)
             if kind is api.SetTimer:
-                self.at(self.now + action.delay / 1e3,
-                        lambda token=action.token: self._feed(member, api.TimerFired(token)))
+                self.at(
+                    self.now + action.delay / 1e3,
+                    lambda token=action.token: self._feed(member, api.TimerFired(token)),
+                )
             elif kind is api.Send:
                 self._send_job(member, action)
             elif kind is api.Cancel:
@@ -173,8 +217,14 @@
 
     def _send_job(self, member: Member, action: api.Send) -> None:
         job = self.jobs[member.name, action.job]
-        attempt = Attempt(member, action.job, job.get("tries", 0), self.workers[action.worker], self.now,
-                          job["run"])
+        attempt = Attempt(
+            member,
+            action.job,
+            job.get("tries", 0),
+            self.workers[action.worker],
+            self.now,
+            job["run"],
+        )
         job["live"], job["tries"] = attempt, attempt.number + 1
         member.machine.busy += 1.0
         self.sent_at[attempt.worker.zone].append(self.now)
@@ -226,8 +276,17 @@
             self.lost_at[w.zone].append(self.now)
         if machine.note(self.now + member.clock, f"z{w.zone}", outcome in LOST):
             self._look_again(member)
-        self._feed(member, api.AttemptEnded(attempt.job, attempt.number, w.name, outcome,
-                                            1e3 * (self.now - attempt.sent), outcome == api.SERVED))
+        self._feed(
+            member,
+            api.AttemptEnded(
+                attempt.job,
+                attempt.number,
+                w.name,
+                outcome,
+                1e3 * (self.now - attempt.sent),
+                outcome == api.SERVED,
+            ),
+        )
         self._serve(w)
 
     # -- figures
--- a/yewrill/lab/netsim.py
+++ b/yewrill/lab/netsim.py
@@ -63,8 +63,14 @@
     def path(self, a: str, b: str) -> Path:
         return self.paths.get((a, b), self.default)
 
-    def cut(self, one: Iterable[str], other: Iterable[str], *, both: bool = True,
-            heal_after: float = 0.0) -> None:
+    def cut(
+        self,
+        one: Iterable[str],
+        other: Iterable[str],
+        *,
+        both: bool = True,
+        heal_after: float = 0.0,
+    ) -> None:
         """Cut the ways from one group to another."""
         pairs = [(a, b) for a in one for b in other if a != b]
         pairs += [(b, a) for a, b in pairs] if both else []
@@ -125,8 +131,15 @@
 class Net(Stopped):
     """Membership machines on such wires."""
 
-    def __init__(self, seed: int, members: int, zones: int = 1, rules: Rules | None = None,
-                 path: Path | None = None, known: int = 3):
+    def __init__(
+        self,
+        seed: int,
+        members: int,
+        zones: int = 1,
+        rules: Rules | None = None,
+        path: Path | None = None,
+        known: int = 3,
+    ):
         super().__init__(seed, path)
         self.rules = rules or Rules()
         self.nodes: dict[str, Node] = {}
@@ -139,10 +152,17 @@
 
     # -- who is there
 
-    def start(self, name: str, address: tuple[str, int], zone: str = "", seeds: Iterable = ()) -> Node:
+    def start(
+        self, name: str, address: tuple[str, int], zone: str = "", seeds: Iterable = ()
+    ) -> Node:
         """Start a member, or start it anew."""
-        machine = Machine(Claim(name, address, zone), list(seeds), random.Random(self.rng.getrandbits(64)),
-                          self.now + self.rng.random() * self.rules.interval, self.rules)
+        machine = Machine(
+            Claim(name, address, zone),
+            list(seeds),
+            random.Random(self.rng.getrandbits(64)),
+            self.now + self.rng.random() * self.rules.interval,
+            self.rules,
+        )
         node = Node(name, address, machine, Codec(name, self.rng.getrandbits(62) + 1, [KEY]))
         self.nodes[name] = self._at[address] = node
         self._arm(node)
--- a/yewrill/lab/ownnet.py
+++ b/yewrill/lab/ownnet.py
@@ -37,9 +37,18 @@
 
 
 class OwnNet(Wires):
-    def __init__(self, seed: int, members: int = 6, voters: int = 3, duty: str = "zones", span: float = 2.0,
-                 path: Path | None = None, wanting: int | None = None, drift: float = 0.0,
-                 machines: Callable[[], dict[str, StateMachine]] | None = None):
+    def __init__(
+        self,
+        seed: int,
+        members: int = 6,
+        voters: int = 3,
+        duty: str = "zones",
+        span: float = 2.0,
+        path: Path | None = None,
+        wanting: int | None = None,
+        drift: float = 0.0,
+        machines: Callable[[], dict[str, StateMachine]] | None = None,
+    ):
         super().__init__(seed, path or Path(delay=0.003, jitter=0.003))
         self.duty, self.span = duty, span
         self.voters = tuple(f"m{i}" for i in range(voters))
@@ -55,9 +64,16 @@
             self._begin(member)
 
     def _begin(self, member: Member) -> None:
-        member.node = Node(member.name, self.voters, member.disk, member.incarnation,
-                           random.Random(self.rng.getrandbits(64)), self.now * member.rate, span=self.span,
-                           machines=self.machines() if self.machines is not None else None)
+        member.node = Node(
+            member.name,
+            self.voters,
+            member.disk,
+            member.incarnation,
+            random.Random(self.rng.getrandbits(64)),
+            self.now * member.rate,
+            span=self.span,
+            machines=self.machines() if self.machines is not None else None,
+        )
         member.joiner = Joiner()
         if self.wanting is None or int(member.name[1:]) < self.wanting:
             member.node.want(self.duty)
@@ -106,8 +122,10 @@
         for to, what in step.messages:
             for part in cut(pack(what), self.rng.getrandbits(40)):
                 member.sent += len(part)
-                self.carry(self.path(member.name, to),
-                           lambda to=to, part=part: self._arrive(member, to, part))
+                self.carry(
+                    self.path(member.name, to),
+                    lambda to=to, part=part: self._arrive(member, to, part),
+                )
         self._look(member)
 
     def _arrive(self, sender: Member, to: str, part: bytes) -> None:
@@ -119,14 +137,21 @@
             return
         whole = member.joiner.take(sender.name, part)
         if whole is not None:
-            self._carry_out(member, member.node.receive(self.now * member.rate, unpack(whole), sender.name))
+            self._carry_out(
+                member, member.node.receive(self.now * member.rate, unpack(whole), sender.name)
+            )
 
     # -- what must hold
 
     def owners(self) -> list[tuple[str, int]]:
         """Who acts for the duty now, by its own clock."""
-        return [(m.name, number) for m in self.members.values() if m.up and self.now >= m.paused_until
-                and (number := m.node.owns(self.duty, self.now * m.rate))]
+        return [
+            (m.name, number)
+            for m in self.members.values()
+            if m.up
+            and self.now >= m.paused_until
+            and (number := m.node.owns(self.duty, self.now * m.rate))
+        ]
 
     def _look(self, member: Member) -> None:
         owners = self.owners()
@@ -141,12 +166,14 @@
     def order(self, name: str, number: int, delay: float) -> None:
         """An order of an owner's goes to all, and arrives some time."""
         for member in self.members.values():
+
             def obey(member: Member = member) -> None:
                 if member.fence.admits(self.duty, number):
                     last = [n for _, who, n in self.obeyed if who == member.name]
                     if last and number < last[-1]:
                         raise Broken(f"{member.name} obeyed {number} after {last[-1]}")
                     self.obeyed.append((self.now, member.name, number))
+
             self.at(self.now + delay * self.rng.random(), obey)
 
 
