--- a/yewrill/lab/raftcheck.py
+++ b/yewrill/lab/raftcheck.py
@@ -59,9 +59,11 @@
 
 
 class Checker:
-    def __init__(self, bounds: Bounds, make: Callable[..., Raft] = Raft, *, trust_disk: bool = False):
+    def __init__(
+        self, bounds: Bounds, make: Callable[..., Raft] = Raft, *, trust_disk: bool = False
+    ):
         self.bounds, self.make, self.trust_disk = bounds, make, trust_disk
-        self.names = tuple("abcdefg"[:bounds.voters])
+        self.names = tuple("abcdefg"[: bounds.voters])
 
     def start(self) -> World:
         disk = Disk(snapshot=Snapshot(0, 0, self.names))
@@ -81,26 +83,49 @@
                 yield f"{name} speaks", partial(self._after, world, name, lambda r: r.beat())
             if raft.role == LEADER and world.orders < bounds.orders and raft.last < bounds.log:
                 order = b"%d" % world.orders
-                yield f"{name} is given an order", partial(
-                    self._after, replace(world, orders=world.orders + 1), name,
-                    lambda r, order=order: r.propose(ORDER, order))
+                yield (
+                    f"{name} is given an order",
+                    partial(
+                        self._after,
+                        replace(world, orders=world.orders + 1),
+                        name,
+                        lambda r, order=order: r.propose(ORDER, order),
+                    ),
+                )
             if world.crashes < bounds.crashes:
-                yield f"{name} restarts", partial(self._restart, world, name, world.past[name][-1], False)
+                yield (
+                    f"{name} restarts",
+                    partial(self._restart, world, name, world.past[name][-1], False),
+                )
                 if world.tails < bounds.tails and not world.restarted - {name}:
                     for disk in world.past[name][:-1]:
-                        yield f"{name} restarts, its tail lost", partial(
-                            self._restart, world, name, disk, True)
+                        yield (
+                            f"{name} restarts, its tail lost",
+                            partial(self._restart, world, name, disk, True),
+                        )
         for at, message in enumerate(world.wire):
-            rest = world.wire[:at] + world.wire[at + 1:]
-            yield f"{message.kind} {message.sender}>{message.to}", partial(
-                self._after, replace(world, wire=rest), message.to, lambda r, m=message: r.receive(m))
+            rest = world.wire[:at] + world.wire[at + 1 :]
+            yield (
+                f"{message.kind} {message.sender}>{message.to}",
+                partial(
+                    self._after,
+                    replace(world, wire=rest),
+                    message.to,
+                    lambda r, m=message: r.receive(m),
+                ),
+            )
 
     def _restart(self, world: World, name: str, disk: Disk, lost: bool) -> World:
         raft = self.make(name, world.nodes[name].incarnation + 1, disk, trust_disk=self.trust_disk)
         raft.take()
-        return replace(world, nodes={**world.nodes, name: raft}, past={**world.past, name: (disk,)},
-                       crashes=world.crashes + 1, tails=world.tails + lost,
-                       restarted=world.restarted | {name})
+        return replace(
+            world,
+            nodes={**world.nodes, name: raft},
+            past={**world.past, name: (disk,)},
+            crashes=world.crashes + 1,
+            tails=world.tails + lost,
+            restarted=world.restarted | {name},
+        )
 
     def _after(self, world: World, name: str, act: Callable[[Raft], object]) -> World:
         raft = clone(world.nodes[name])
@@ -111,13 +136,15 @@
         if out.save is not None and out.save != after.past[name][-1]:
             after.past = {**after.past, name: (*after.past[name], out.save)[-4:]}
         for message in out.messages:
-            message = replace(message, number=0) if message.kind in ("append", "appended") else message
+            message = (
+                replace(message, number=0) if message.kind in ("append", "appended") else message
+            )
             if message not in after.wire and len(raft.log) <= self.bounds.log:
-                after.wire = (*after.wire, message)[-self.bounds.messages:]
+                after.wire = (*after.wire, message)[-self.bounds.messages :]
         if raft.role == LEADER and (raft.term, name) not in after.leaders:
             if any(term == raft.term for term, _ in after.leaders):
                 raise Broken(f"two leaders in term {raft.term}")
-            if tuple(raft.log[:len(after.committed)]) != after.committed:
+            if tuple(raft.log[: len(after.committed)]) != after.committed:
                 raise Broken(f"{name} leads in term {raft.term} without what was committed")
             after.leaders = (*after.leaders, (raft.term, name))
         for index, entry in out.committed:
@@ -134,12 +161,24 @@
         """All that decides what may follow, the same for worlds that differ in names only."""
         alike: dict[tuple, list[str]] = {}
         for name, r in world.nodes.items():  # whoever differs in this has its place by it
-            mark = (r.term, r.role, len(r.log), r.commit, r.incarnation, r.counts, r.before, len(r.votes),
-                    r.vote == name, sum(m.to == name for m in world.wire))
+            mark = (
+                r.term,
+                r.role,
+                len(r.log),
+                r.commit,
+                r.incarnation,
+                r.counts,
+                r.before,
+                len(r.votes),
+                r.vote == name,
+                sum(m.to == name for m in world.wire),
+            )
             alike.setdefault(mark, []).append(name)
         groups = [alike[mark] for mark in sorted(alike)]
-        return min(self._named(world, {name: at for at, name in enumerate(chain(*order))})
-                   for order in product(*map(permutations, groups)))
+        return min(
+            self._named(world, {name: at for at, name in enumerate(chain(*order))})
+            for order in product(*map(permutations, groups))
+        )
 
     def _named(self, world: World, name: dict[str, int]) -> tuple:
         def other(text: str) -> int:
@@ -148,24 +187,68 @@
         nodes = [()] * len(self.names)
         for who, r in world.nodes.items():
             nodes[name[who]] = (
-                r.term, other(r.vote), tuple((e.term, e.data) for e in r.log), r.role, other(r.leader),
-                r.commit, r.counts, r.lost, r.before, r.incarnation,
+                r.term,
+                other(r.vote),
+                tuple((e.term, e.data) for e in r.log),
+                r.role,
+                other(r.leader),
+                r.commit,
+                r.counts,
+                r.lost,
+                r.before,
+                r.incarnation,
                 (r.began[0], other(r.began[1]), r.began[2]),
-                tuple(sorted(map(other, r.votes))), tuple(sorted(map(other, r.answered))),
+                tuple(sorted(map(other, r.votes))),
+                tuple(sorted(map(other, r.answered))),
                 tuple(sorted((other(k), v) for k, v in r.match.items())),
                 tuple(sorted((other(k), v) for k, v in r.next.items())),
                 tuple(sorted((other(k), v) for k, v in r.known.items())),
-                tuple(sorted((other(k), v) for k, v in r.memory.items())))
-        wire = tuple((m.kind, other(m.sender), other(m.to), m.incarnation, m.term, m.number, m.index, m.of,
-                      m.yes, m.counts, m.commit, tuple((e.term, e.data) for e in m.entries))
-                     for m in world.wire)
-        past = tuple(sorted((name[who], tuple((d.term, other(d.vote), tuple((e.term, e.data) for e in d.log))
-                                              for d in disks)) for who, disks in world.past.items())
-                     ) if self.bounds.tails > world.tails else ()
-        return (tuple(nodes), wire, past, world.crashes, world.tails,
-                tuple(sorted(map(other, world.restarted))), world.orders,
-                tuple((e.term, e.data) for e in world.committed),
-                tuple(sorted((term, other(who)) for term, who in world.leaders)))
+                tuple(sorted((other(k), v) for k, v in r.memory.items())),
+            )
+        wire = tuple(
+            (
+                m.kind,
+                other(m.sender),
+                other(m.to),
+                m.incarnation,
+                m.term,
+                m.number,
+                m.index,
+                m.of,
+                m.yes,
+                m.counts,
+                m.commit,
+                tuple((e.term, e.data) for e in m.entries),
+            )
+            for m in world.wire
+        )
+        past = (
+            tuple(
+                sorted(
+                    (
+                        name[who],
+                        tuple(
+                            (d.term, other(d.vote), tuple((e.term, e.data) for e in d.log))
+                            for d in disks
+                        ),
+                    )
+                    for who, disks in world.past.items()
+                )
+            )
+            if self.bounds.tails > world.tails
+            else ()
+        )
+        return (
+            tuple(nodes),
+            wire,
+            past,
+            world.crashes,
+            world.tails,
+            tuple(sorted(map(other, world.restarted))),
+            world.orders,
+            tuple((e.term, e.data) for e in world.committed),
+            tuple(sorted((term, other(who)) for term, who in world.leaders)),
+        )
 
     def run(self) -> Found:
         start = self.start()
--- a/yewrill/lab/raftnet.py
+++ b/yewrill/lab/raftnet.py
@@ -35,8 +35,14 @@
 
 
 class RaftNet(Wires):
-    def __init__(self, seed: int, voters: int = 3, path: Path | None = None, times: Times | None = None,
-                 make: Callable[..., Raft] = Raft):
+    def __init__(
+        self,
+        seed: int,
+        voters: int = 3,
+        path: Path | None = None,
+        times: Times | None = None,
+        make: Callable[..., Raft] = Raft,
+    ):
         super().__init__(seed, path or Path(delay=0.005, jitter=0.005))
         self.times, self.make = times or Times(), make
         self.names = tuple(f"v{i}" for i in range(voters))
--- a/yewrill/lab/viewcheck.py
+++ b/yewrill/lab/viewcheck.py
@@ -68,7 +68,9 @@
         world, path = waiting.popleft()
         for told, after in _steps(world, bounds, make):
             if len(after.decided) > 1:
-                return Found(len(seen), False, f"decided {sorted(after.decided)}", (*unrolled(path), told))
+                return Found(
+                    len(seen), False, f"decided {sorted(after.decided)}", (*unrolled(path), told)
+                )
             key = _key(after, orders)
             if key not in seen:
                 if len(seen) >= bounds.states:
@@ -78,8 +80,9 @@
     return Found(len(seen), True)
 
 
-def _steps(world: World, bounds: Bounds,
-           make: Callable[[int, int], Agreement]) -> Iterator[tuple[str, World]]:
+def _steps(
+    world: World, bounds: Bounds, make: Callable[[int, int], Agreement]
+) -> Iterator[tuple[str, World]]:
     size = bounds.members
     for rank in range(size):
         if world.dead >> rank & 1:
@@ -96,14 +99,18 @@
             if _save(vote) != state:
                 yield f"{rank} hears {word}", _after(world, bounds, rank, vote)
         if world.dead.bit_count() < bounds.deaths:
-            yield f"{rank} dies", World(world.members, world.words, world.opened, world.dead | 1 << rank,
-                                        world.decided)
+            yield (
+                f"{rank} dies",
+                World(
+                    world.members, world.words, world.opened, world.dead | 1 << rank, world.decided
+                ),
+            )
 
 
 def _after(world: World, bounds: Bounds, rank: int, vote: Agreement, opened: int = 0) -> World:
-    members = (*world.members[:rank], _save(vote), *world.members[rank + 1:])
+    members = (*world.members[:rank], _save(vote), *world.members[rank + 1 :])
     words = tuple(w for w in world.words if w != vote.word)
-    words = (*words, vote.word)[-bounds.words:]
+    words = (*words, vote.word)[-bounds.words :]
     decided = world.decided if vote.decided is None else world.decided | {vote.decided}
     return World(members, words, world.opened + opened, world.dead, decided)
 
@@ -125,12 +132,27 @@
         return -1 if not text else to[int(text)]
 
     def word(w: Word) -> tuple:
-        return (ballot(w.ballot), bits(w.promised), ballot(w.best), value(w.best_value), value(w.proposal),
-                bits(w.accepted))
+        return (
+            ballot(w.ballot),
+            bits(w.promised),
+            ballot(w.best),
+            value(w.best_value),
+            value(w.proposal),
+            bits(w.accepted),
+        )
 
     members: list[tuple] = [()] * len(to)
     for rank, (said, accepted, decided, offered) in enumerate(world.members):
-        members[to[rank]] = (word(said), ((0, -1), -1) if accepted is None
-                             else (ballot(accepted[0]), value(accepted[1])), value(decided), value(offered))
-    return (tuple(members), tuple(map(word, world.words)), world.opened, bits(world.dead),
-            tuple(sorted(map(value, world.decided))))
+        members[to[rank]] = (
+            word(said),
+            ((0, -1), -1) if accepted is None else (ballot(accepted[0]), value(accepted[1])),
+            value(decided),
+            value(offered),
+        )
+    return (
+        tuple(members),
+        tuple(map(word, world.words)),
+        world.opened,
+        bits(world.dead),
+        tuple(sorted(map(value, world.decided))),
+    )
--- a/yewrill/lab/viewnet.py
+++ b/yewrill/lab/viewnet.py
@@ -37,8 +37,17 @@
 
 
 class ViewNet(Stopped):
-    def __init__(self, seed: int, members: int, *, founders: int = 3, rules: Rules | None = None,
-                 path: Path | None = None, formed: bool = True, check: bool = True):
+    def __init__(
+        self,
+        seed: int,
+        members: int,
+        *,
+        founders: int = 3,
+        rules: Rules | None = None,
+        path: Path | None = None,
+        formed: bool = True,
+        check: bool = True,
+    ):
         super().__init__(seed, path)
         self.rules = rules or Rules()
         self.nodes: dict[str, Node] = {}
@@ -67,8 +76,9 @@
 
     def start(self, name: str, address: tuple[str, int], disk: Kept | None = None) -> Node:
         me = Entry(name, self.rng.getrandbits(47) + 1, address, "z0")
-        machine = Machine(me, self.founders, disk, random.Random(self.rng.getrandbits(64)), self.now,
-                          self.rules)
+        machine = Machine(
+            me, self.founders, disk, random.Random(self.rng.getrandbits(64)), self.now, self.rules
+        )
         node = Node(name, address, machine, disk, was={me.incarnation})
         self.nodes[name] = self._at[address] = node
         self.all.append(node)
@@ -143,8 +153,10 @@
             for part in pack(message, node.number):
                 node.sent += len(part) + 1 + HEAD
                 if to is not None:
-                    self.carry(self.path(node.name, to.name),
-                               lambda to=to, part=part: self._arrive(to, node, part))
+                    self.carry(
+                        self.path(node.name, to.name),
+                        lambda to=to, part=part: self._arrive(to, node, part),
+                    )
 
     def _arrive(self, to: Node, sender: Node, part: bytes) -> None:
         if to.dead:
@@ -176,10 +188,15 @@
                 self.orders[view.number] = view
                 for entry in before.entries if before is not None else ():
                     other = self.nodes.get(entry.name)
-                    if view.find(entry.name, entry.incarnation) is None and other is not None \
-                            and entry.incarnation in other.was and not other.dead \
-                            and self.now >= other.paused_until and not other.machine._leaving \
-                            and entry.name not in self.spare:
+                    if (
+                        view.find(entry.name, entry.incarnation) is None
+                        and other is not None
+                        and entry.incarnation in other.was
+                        and not other.dead
+                        and self.now >= other.paused_until
+                        and not other.machine._leaving
+                        and entry.name not in self.spare
+                    ):
                         self.false_out.append((self.now, entry.name))
             if node.disk is None or node.disk.number < view.number:
                 self.both_sides.append(f"{self.now:.2f}: {node.name} did not keep {view.number}")
@@ -212,17 +229,24 @@
         """Whether all that live (or these) hold leases in one view of just them."""
         names = {node.name for node in self.living()} if among is None else set(among)
         views = [self.holds(name) for name in names]
-        return all(view is not None and set(view.names) == names and view.digest == views[0].digest
-                   for view in views)
+        return all(
+            view is not None and set(view.names) == names and view.digest == views[0].digest
+            for view in views
+        )
 
     def gone(self, names: Iterable[str], among: Iterable[str] | None = None) -> bool:
         """Whether none of these processes (as they are) is in any view that one of the others holds."""
         lost = {(name, self.nodes[name].machine.me.incarnation) for name in names}
-        left = [node for node in self.living() if node.name not in {name for name, _ in lost}
-                and (among is None or node.name in among)]
-        return not any(node.machine.installed is not None
-                       and node.machine.installed.find(*process) is not None
-                       for node in left for process in lost)
+        left = [
+            node
+            for node in self.living()
+            if node.name not in {name for name, _ in lost} and (among is None or node.name in among)
+        ]
+        return not any(
+            node.machine.installed is not None and node.machine.installed.find(*process) is not None
+            for node in left
+            for process in lost
+        )
 
     def cycle(self, names: Iterable[str], run: float, stop: float, until: float) -> None:
         """Let these pause again and again, each in its own time."""
@@ -236,5 +260,3 @@
                 self._cycle(name, run, stop, until, self.now + run + stop)
 
         self.at(at, again)
-
-
--- a/yewrill/lab/zonenet.py
+++ b/yewrill/lab/zonenet.py
@@ -32,9 +32,19 @@
 
 
 class ZoneNet(Wires):
-    def __init__(self, seed: int, members: int, zones: int, *, rate: float = 20.0, load: float = 0.6,
-                 path: Path | None = None, rules: Rules | None = None, detect: float = 9.0,
-                 plan: bool = True):
+    def __init__(
+        self,
+        seed: int,
+        members: int,
+        zones: int,
+        *,
+        rate: float = 20.0,
+        load: float = 0.6,
+        path: Path | None = None,
+        rules: Rules | None = None,
+        detect: float = 9.0,
+        plan: bool = True,
+    ):
         super().__init__(seed, path or Path(delay=0.005, jitter=0.002))
         self.rules = rules or Rules()
         self.detect = detect
@@ -42,7 +52,9 @@
         self.zones = [f"z{i}" for i in range(zones)]
         self.loss = dict.fromkeys(self.zones, 0.0)  # part of the attempts lost in each zone
         self.regions: dict[str, str] = {}  # of the zones, where they have any
-        self.cuts: set[tuple[str, str]] = set()  # (a zone's dispatchers, a zone's workers): nothing passes
+        self.cuts: set[tuple[str, str]] = (
+            set()
+        )  # (a zone's dispatchers, a zone's workers): nothing passes
         self.spared: set[str] = set()  # members that meet no loss
         self.capacity = dict.fromkeys(self.zones, members * rate * 0.2 / load / zones)
         self.attempts: dict[str, list[float]] = {zone: [] for zone in self.zones}  # when they ended
@@ -58,8 +70,14 @@
 
     def start(self, name: str, address: tuple[str, int], zone: str, rate: float) -> Dispatcher:
         """Start a member, or start it anew without what it knew."""
-        machine = Machine(name, zone, lambda: self._view(name), random.Random(self.rng.getrandbits(64)),
-                          self.now, self.rules)
+        machine = Machine(
+            name,
+            zone,
+            lambda: self._view(name),
+            random.Random(self.rng.getrandbits(64)),
+            self.now,
+            self.rules,
+        )
         machine.capacity = lambda: self.capacity
         machine.regions = lambda: self.regions
         machine.busy = rate * 0.2
@@ -100,8 +118,11 @@
     def _view(self, name: str) -> list[Member]:
         epoch, view = self._views.get(name, (-1, []))
         if epoch != self._epoch:
-            view = [Member(m.name, m.address, m.zone, self._sees(name, m)) for m in self.members.values()
-                    if m.name != name]
+            view = [
+                Member(m.name, m.address, m.zone, self._sees(name, m))
+                for m in self.members.values()
+                if m.name != name
+            ]
             self._views[name] = (self._epoch, view)
         return view
 
@@ -156,8 +177,10 @@
             member.sent += len(data) + 60  # what the members' datagram adds
             to = self._at.get(address)
             if to is not None:
-                self.carry(self.path(member.name, to.name),
-                           lambda to=to, data=data: self._arrive(to, data, member))
+                self.carry(
+                    self.path(member.name, to.name),
+                    lambda to=to, data=data: self._arrive(to, data, member),
+                )
 
     def _arrive(self, to: Dispatcher, data: bytes, member: Dispatcher) -> None:
         if to.dead or self.members.get(to.name) is not to:
--- a/yewrill/loadreport.py
+++ b/yewrill/loadreport.py
@@ -38,7 +38,11 @@
     report: dict[str, float] = {}
     for name in fields:
         value = said.get(name)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0.0 <= value <= MOST:
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, (int, float))
+            or not 0.0 <= value <= MOST
+        ):
             return None
         report[name] = float(value)
     return report
--- a/yewrill/logs.py
+++ b/yewrill/logs.py
@@ -26,7 +26,9 @@
 _PIECES = re.compile(r"%(?:\.\d+)?[a-z]")
 _KEYED = re.compile(r"([A-Za-z_][\w-]*)=(.*)")
 # What a line says of the operation it belongs to.
-_operation: contextvars.ContextVar[tuple[str, str] | None] = contextvars.ContextVar("operation", default=None)
+_operation: contextvars.ContextVar[tuple[str, str] | None] = contextvars.ContextVar(
+    "operation", default=None
+)
 
 
 def of_operation(id: str, trace: str) -> None:
@@ -124,8 +126,11 @@
 
     def format(self, record: logging.LogRecord) -> str:
         text = super().format(record)
-        more = "".join(f" {key}={value}" for key in ("trace", "thinned", "lost")
-                       if (value := getattr(record, key, None)) is not None)
+        more = "".join(
+            f" {key}={value}"
+            for key in ("trace", "thinned", "lost")
+            if (value := getattr(record, key, None)) is not None
+        )
         head, newline, traceback = text.partition("\n")
         return head + more + newline + traceback
 
@@ -137,16 +142,26 @@
     import structlog
 
     clean = structlog.stdlib.ProcessorFormatter.remove_processors_meta
-    processors: list[Any] = [structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
-                             structlog.processors.TimeStamper(fmt="iso", utc=True), _fields]
+    processors: list[Any] = [
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        _fields,
+    ]
     if form == "json":
-        processors += [structlog.processors.format_exc_info, clean, structlog.processors.JSONRenderer()]
+        processors += [
+            structlog.processors.format_exc_info,
+            clean,
+            structlog.processors.JSONRenderer(),
+        ]
     else:
         processors += [clean, structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())]
 
     class Structured(structlog.stdlib.ProcessorFormatter):
         def format(self, record: logging.LogRecord) -> str:
-            record.parsed = event_of(record)  # now: the processors get the line's text, without its arguments
+            record.parsed = event_of(
+                record
+            )  # now: the processors get the line's text, without its arguments
             return super().format(record)
 
     return Structured(processors=processors)
--- a/yewrill/members/evidence.py
+++ b/yewrill/members/evidence.py
@@ -24,7 +24,9 @@
 
 WINDOW = 32  # times between arrivals that are remembered
 MOST_LOST = 8  # lost ones that one time shows: a longer gap was an outage, not loss
-NEARLY = 0.25  # intervals: a time no further off a whole number shows loss; a shorter one is a burst
+NEARLY = (
+    0.25  # intervals: a time no further off a whole number shows loss; a shorter one is a burst
+)
 LEAST_SPREAD = 0.1  # intervals
 MOST_LOSS = 0.8
 MOST_PHI = 100.0
@@ -36,14 +38,25 @@
 class Arrivals:
     """What comes of one peer about every `interval`, and how unlikely its silence is."""
 
-    __slots__ = ("_arrived", "_forgiven", "_interval", "_last", "_lost", "_squares", "_sum", "_times")
+    __slots__ = (
+        "_arrived",
+        "_forgiven",
+        "_interval",
+        "_last",
+        "_lost",
+        "_squares",
+        "_sum",
+        "_times",
+    )
 
     def __init__(self, interval: float):
         self._interval = interval
         self._last = -math.inf
         self._forgiven = 0.0
         self._arrived = False
-        self._times: deque[tuple[float, int]] = deque()  # in intervals without those lost; how many were
+        self._times: deque[tuple[float, int]] = (
+            deque()
+        )  # in intervals without those lost; how many were
         self._sum = self._squares = 0.0
         self._lost = 0
 
@@ -101,7 +114,7 @@
         the sum of the chances of so many lost and that one later still."""
         count = len(self._times) + 2.0  # two in advance, half an interval early and late
         mean = (self._sum + 2.0) / count
-        spread = math.sqrt(max(LEAST_SPREAD ** 2, (self._squares + 2.5) / count - mean * mean))
+        spread = math.sqrt(max(LEAST_SPREAD**2, (self._squares + 2.5) / count - mean * mean))
         loss, so_far, chance, late = self.loss, 1.0, 0.0, silence / self._interval - mean
         while late > -6.0 * spread and so_far > 1e-120:
             chance += so_far * (1.0 - loss) * 0.5 * math.erfc(late / spread / math.sqrt(2.0))
--- a/yewrill/members/facade.py
+++ b/yewrill/members/facade.py
@@ -87,8 +87,11 @@
         if self._link is None:
             return View(())
         machine = self._link.machine
-        return View(tuple(machine.members()), frozenset(c.name for c in machine.members() if c.state),
-                    machine.health.doubt)
+        return View(
+            tuple(machine.members()),
+            frozenset(c.name for c in machine.members() if c.state),
+            machine.health.doubt,
+        )
 
     @property
     def link(self) -> Link | None:
@@ -107,12 +110,23 @@
         if link is None:
             return {"members": []}
         machine, now = link.machine, trio.current_time()
-        listed = [{"name": machine.me.name, "state": "alive", "zone": machine.me.zone, "self": True}]
+        listed = [
+            {"name": machine.me.name, "state": "alive", "zone": machine.me.zone, "self": True}
+        ]
         links = {name: machine.link_state(name) for name in machine.listed}
-        listed += [{"name": m.claim.name, "state": STATES[m.claim.state], "zone": m.claim.zone,
-                    "region": m.claim.region, "address": ":".join(map(str, m.claim.address)),
-                    "link": LINK_STATES[links[name]], "heard": links[name] == WELL,
-                    "for_s": round(now - m.since, 1)} for name, m in sorted(machine.listed.items())]
+        listed += [
+            {
+                "name": m.claim.name,
+                "state": STATES[m.claim.state],
+                "zone": m.claim.zone,
+                "region": m.claim.region,
+                "address": ":".join(map(str, m.claim.address)),
+                "link": LINK_STATES[links[name]],
+                "heard": links[name] == WELL,
+                "for_s": round(now - m.since, 1),
+            }
+            for name, m in sorted(machine.listed.items())
+        ]
         return {"members": listed, "own_doubt": machine.health.doubt, **self.figures()}
 
     def figures(self) -> dict[str, int]:
@@ -121,9 +135,16 @@
         if link is None:
             return {}
         counts = link.machine.counts
-        return {"members_suspected": counts.suspected,
-                "members_refuted": counts.refuted, "members_vouched": counts.vouched,
-                "members_died": counts.died, "members_late": counts.late, "members_alone": counts.alone,
-                "members_bytes_out": link.sent, "members_bytes_in": link.received,
-                "members_held_back": link.held_back, "members_flooded": link.flooded,
-                "members_refused": sum(link.refused.values())}
+        return {
+            "members_suspected": counts.suspected,
+            "members_refuted": counts.refuted,
+            "members_vouched": counts.vouched,
+            "members_died": counts.died,
+            "members_late": counts.late,
+            "members_alone": counts.alone,
+            "members_bytes_out": link.sent,
+            "members_bytes_in": link.received,
+            "members_held_back": link.held_back,
+            "members_flooded": link.flooded,
+            "members_refused": sum(link.refused.values()),
+        }
--- a/yewrill/members/format.py
+++ b/yewrill/members/format.py
@@ -92,7 +92,9 @@
         self._signing = keys[0]
         self._peers: dict[str, _Peer] = {}
         self._runs: dict[tuple[str, int], int] = {}  # of whoever listens at an address
-        self._unheard: dict[tuple[str, int], Message] = {}  # the last message to whoever's run we don't know
+        self._unheard: dict[
+            tuple[str, int], Message
+        ] = {}  # the last message to whoever's run we don't know
         self._counter = 0
         self._most_peers = most_peers
 
@@ -101,13 +103,27 @@
     def encode(self, message: Message, to: tuple[str, int]) -> bytes:
         """A datagram for an address. News that does not fit is left out."""
         self._counter += 1
-        if to not in self._runs and message.kind != "hello" and len(self._unheard) < self._most_peers:
+        if (
+            to not in self._runs
+            and message.kind != "hello"
+            and len(self._unheard) < self._most_peers
+        ):
             self._unheard[to] = message
         news, cargo = list(message.news), [message.cargo] if message.cargo else []
         while True:
-            body = msgpack.packb([self.name, self.run, self._runs.get(to, 0), self._counter,
-                                  KINDS.index(message.kind), message.number, message.about,
-                                  [_plain(claim) for claim in news], *cargo])
+            body = msgpack.packb(
+                [
+                    self.name,
+                    self.run,
+                    self._runs.get(to, 0),
+                    self._counter,
+                    KINDS.index(message.kind),
+                    message.number,
+                    message.about,
+                    [_plain(claim) for claim in news],
+                    *cargo,
+                ]
+            )
             if HEAD + CODE + len(body) <= MOST or not news:
                 break
             news.pop()
@@ -118,7 +134,7 @@
 
     def decode(self, data: bytes, source: tuple[str, int]) -> tuple[str, Message]:
         """The sender's name and its message. Raises Refused; Stranger for one who must hear our run first."""
-        head, code, body = data[:HEAD], data[HEAD:HEAD + CODE], data[HEAD + CODE:]
+        head, code, body = data[:HEAD], data[HEAD : HEAD + CODE], data[HEAD + CODE :]
         if len(data) > MOST or head[:2] != MAGIC or len(code) < CODE:
             raise Refused("not ours")
         if head[2] != FORMAT:
@@ -129,8 +145,13 @@
         try:
             name, run, for_run, counter, kind, number, about, news, *rest = msgpack.unpackb(body)
             sender = text(name)
-            message = Message(KINDS[whole(kind, len(KINDS) - 1)], whole(number, 2**63),
-                              text(about, empty=True), tuple(_claim(entry) for entry in news), _cargo(rest))
+            message = Message(
+                KINDS[whole(kind, len(KINDS) - 1)],
+                whole(number, 2**63),
+                text(about, empty=True),
+                tuple(_claim(entry) for entry in news),
+                _cargo(rest),
+            )
             run, for_run, counter = whole(run, 2**64), whole(for_run, 2**64), whole(counter, 2**63)
         except (ValueError, TypeError, msgpack.exceptions.UnpackException, RecursionError) as error:
             raise Refused("form") from error
@@ -183,9 +204,15 @@
 
 def _claim(entry: Any) -> Claim:
     name, host, port, zone, region, incarnation, state, by = entry
-    return Claim(text(name), (text(host), whole(port, 65535)), text(zone, empty=True),
-                 text(region, empty=True), whole(incarnation, MOST_INCARNATION), whole(state, LEFT, ALIVE),
-                 text(by, empty=True))
+    return Claim(
+        text(name),
+        (text(host), whole(port, 65535)),
+        text(zone, empty=True),
+        text(region, empty=True),
+        whole(incarnation, MOST_INCARNATION),
+        whole(state, LEFT, ALIVE),
+        text(by, empty=True),
+    )
 
 
 def _cargo(rest: list[Any]) -> bytes:
--- a/yewrill/members/link.py
+++ b/yewrill/members/link.py
@@ -17,7 +17,9 @@
 log = logging.getLogger("yewrill.members")
 
 Address = tuple[str, int]
-Cargo = Callable[[bytes, str, Address], list[tuple[Address, bytes]]]  # data, sender, address: what to say
+Cargo = Callable[
+    [bytes, str, Address], list[tuple[Address, bytes]]
+]  # data, sender, address: what to say
 ZONES, OWNERSHIP, VIEWS = 1, 2, 3  # whose cargo it is
 TIDY = 30.0  # seconds between two looks at what may be forgotten
 
@@ -25,7 +27,9 @@
 class Link:
     """A machine on a socket."""
 
-    def __init__(self, machine: Machine, codec: Codec, socket: trio.socket.SocketType, bytes_per_s: float):
+    def __init__(
+        self, machine: Machine, codec: Codec, socket: trio.socket.SocketType, bytes_per_s: float
+    ):
         self.machine, self.codec = machine, codec
         self._socket = socket
         self._budget = Bucket(bytes_per_s)
@@ -102,8 +106,13 @@
         machine = self.machine
         if machine.changes:
             for claim in machine.changes:
-                log.info("member name=%s state=%s zone=%s incarnation=%d", claim.name,
-                         STATES[claim.state], claim.zone, claim.incarnation)
+                log.info(
+                    "member name=%s state=%s zone=%s incarnation=%d",
+                    claim.name,
+                    STATES[claim.state],
+                    claim.zone,
+                    claim.incarnation,
+                )
             machine.changes.clear()
             addresses = [m.claim.address for m in machine.listed.values()]
             self._intake.know(addresses + machine.seeds)
@@ -122,8 +131,9 @@
 
 
 @asynccontextmanager
-async def open_link(address: tuple[str, int], make: type | object, keys: list[bytes],
-                    bytes_per_s: float) -> AsyncIterator[Link]:
+async def open_link(
+    address: tuple[str, int], make: type | object, keys: list[bytes], bytes_per_s: float
+) -> AsyncIterator[Link]:
     """A link at an address; `make(address, now)` gives the machine once the port is known."""
     with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as socket:
         await socket.bind(address)
--- a/yewrill/members/machine.py
+++ b/yewrill/members/machine.py
@@ -75,7 +75,9 @@
     tell: int = 4  # told of a doubt at once
     alone: float = 3.0  # intervals without a word from anybody, after which a member judges nobody
     lately: float = 8.0  # intervals: whoever was heard within them can be asked
-    patience: float = 2.5  # intervals, times the size, with one that does not hear us; 20 intervals at least
+    patience: float = (
+        2.5  # intervals, times the size, with one that does not hear us; 20 intervals at least
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +116,9 @@
     since: float
     next: float  # when it is asked again
     told: Claim | None = None  # the doubt that we follow up
-    words: dict[str, str] = field(default_factory=dict)  # who told us that it is silent; by whose finding
+    words: dict[str, str] = field(
+        default_factory=dict
+    )  # who told us that it is silent; by whose finding
     dead: set[str] = field(default_factory=set)  # those of them that are done waiting
     hearers: set[str] = field(default_factory=set)  # who hears it, though it does not answer
     concerned: set[tuple[str, int]] = field(default_factory=set)  # who told us, whom we told
@@ -243,7 +247,10 @@
     def _look_at(self, now: float) -> None:
         """The time at which we look. What was due and nobody looked at is forgiven, once."""
         rules = self.rules
-        if now - self.now > rules.interval and (late := now - max(self.now, self.due)) > rules.interval:
+        if (
+            now - self.now > rules.interval
+            and (late := now - max(self.now, self.due)) > rules.interval
+        ):
             self.counts.late += 1
             self.health.note(1)
             self._forgive(late)
@@ -294,13 +301,15 @@
     @property
     def alone(self) -> bool:
         """Whether nobody is heard, though there are several: then it may well be us."""
-        return (self.now - self._heard > self.rules.alone * self.rules.interval
-                and sum(1 for _ in itertools.islice(self._living(), 2)) > 1)
+        return (
+            self.now - self._heard > self.rules.alone * self.rules.interval
+            and sum(1 for _ in itertools.islice(self._living(), 2)) > 1
+        )
 
     def _begin_probe(self, out: list[Out]) -> None:
         rules, scale = self.rules, self.health.scale()
         living = list(self._living())
-        if (alone := self.alone):  # whoever hears nobody goes on being heard
+        if alone := self.alone:  # whoever hears nobody goes on being heard
             scale = 1.0
             out += [(c.address, self._message("ping", 0, c)) for c in self.rng.sample(living, 2)]
         self.counts.alone += alone and not self._was_alone
@@ -313,8 +322,13 @@
             return
         target = self._target(living)
         self._number += 1
-        self._probe = _Probe(target, self._number, self.now, direct_until=self.now + rules.timeout * scale,
-                             until=self.now + rules.interval * scale)
+        self._probe = _Probe(
+            target,
+            self._number,
+            self.now,
+            direct_until=self.now + rules.timeout * scale,
+            until=self.now + rules.interval * scale,
+        )
         claim = self.listed[target].claim
         out.append((claim.address, self._message("ping", self._number, claim)))
         after = self.rng.choice([self.me.name, *self.listed])
@@ -325,7 +339,9 @@
         that they are cut off rather than dead are pinged each interval, whatever our doubt of ourselves."""
         gone = [m.claim for m in self.listed.values() if m.claim.state == DEAD]
         many = 4 * len(gone) >= len(self.listed) - len(gone)
-        self._next_call = self.now + self.rules.interval * (1 if many and gone else self.rules.dead_every)
+        self._next_call = self.now + self.rules.interval * (
+            1 if many and gone else self.rules.dead_every
+        )
         lost = [a for a in self.seeds if a not in {m.claim.address for m in self.listed.values()}]
         if gone:
             claim = self.rng.choice(gone)
@@ -358,7 +374,9 @@
             others = self._voices(probe.name)
             helpers = self.rng.sample(others, min(self.rules.helpers, len(others)))
             probe.helpers = len(helpers)
-            out += [(c.address, self._message("help", probe.number, about=probe.name)) for c in helpers]
+            out += [
+                (c.address, self._message("help", probe.number, about=probe.name)) for c in helpers
+            ]
             if m.heard < probe.began and m.pursuit is None:
                 self._begin_pursuit(m, out, None, probe.began)
         if self._probe is not None and self.now >= probe.until:
@@ -395,7 +413,9 @@
             return
         self._number += 1
         wait = self.rules.timeout * self.health.scale()
-        m.pursuit = self._pursued[m.claim.name] = _Pursuit(self._number, since, self.now + wait, told)
+        m.pursuit = self._pursued[m.claim.name] = _Pursuit(
+            self._number, since, self.now + wait, told
+        )
         accused = m.claim if told is None else replace(m.claim, state=SUSPECT)
         out.append((m.claim.address, self._message("ping", self._number, accused)))
 
@@ -411,7 +431,11 @@
 
     def _pursue(self, out: list[Out]) -> None:
         size = len(self.listed) + 1
-        step = self.rules.timeout * self.health.scale() * max(1.0, size / 24.0, len(self._pursued) / 4.0)
+        step = (
+            self.rules.timeout
+            * self.health.scale()
+            * max(1.0, size / 24.0, len(self._pursued) / 4.0)
+        )
         for name, pursuit in list(self._pursued.items()):
             if self.now < pursuit.next:
                 continue
@@ -435,8 +459,12 @@
             else:
                 voices = self._voices(name)
             if voices:
-                out.append((self.rng.choice(voices).address,
-                            self._message("help", pursuit.number, about=name)))
+                out.append(
+                    (
+                        self.rng.choice(voices).address,
+                        self._message("help", pursuit.number, about=name),
+                    )
+                )
 
     def _end_pursuit(self, m: _Listed) -> None:
         """It lives, or can't be judged."""
@@ -457,11 +485,20 @@
 
     def _suspect(self, m: _Listed, pursuit: _Pursuit) -> None:
         told = m.claim.incarnation if pursuit.told is None else pursuit.told.incarnation
-        self._set(replace(m.claim, state=SUSPECT, by=self.me.name,
-                          incarnation=max(m.claim.incarnation, told)))
-        least = shortest(sum(1 for _ in self._living()) + 1, self.rules.interval, self.rules.suspicion)
-        m.suspicion = Suspicion(pursuit.since, least, least * self.rules.longest * self.health.scale(),
-                                {self.me.name, *pursuit.words.values()})
+        self._set(
+            replace(
+                m.claim, state=SUSPECT, by=self.me.name, incarnation=max(m.claim.incarnation, told)
+            )
+        )
+        least = shortest(
+            sum(1 for _ in self._living()) + 1, self.rules.interval, self.rules.suspicion
+        )
+        m.suspicion = Suspicion(
+            pursuit.since,
+            least,
+            least * self.rules.longest * self.health.scale(),
+            {self.me.name, *pursuit.words.values()},
+        )
         self.counts.suspected += 1
 
     def _is_dead(self, m: _Listed) -> bool:
@@ -472,9 +509,13 @@
         words = len(set(pursuit.words.values()) - {self.me.name, name} - pursuit.hearers)
         need = max(1, min(rules.words, len(self._voices(name)))) if others else 0
         lasted = self.now >= m.suspicion.until() or len(pursuit.dead) > 1
-        return (lasted and self.now - m.since >= rules.interval
-                and words >= max(need, len(pursuit.hearers)) and not self._bears_with(m)
-                and self._phi(m) + rules.doubt * min(words, rules.words) >= rules.death)
+        return (
+            lasted
+            and self.now - m.since >= rules.interval
+            and words >= max(need, len(pursuit.hearers))
+            and not self._bears_with(m)
+            and self._phi(m) + rules.doubt * min(words, rules.words) >= rules.death
+        )
 
     def _voices(self, but: str) -> list[Claim]:
         """Whom to ask about one: those heard lately."""
@@ -506,7 +547,9 @@
 
     # -- messages
 
-    def receive(self, now: float, message: Message, sender: str, address: tuple[str, int]) -> list[Out]:
+    def receive(
+        self, now: float, message: Message, sender: str, address: tuple[str, int]
+    ) -> list[Out]:
         """Take one message of an authenticated sender; what is to be sent for it."""
         self._look_at(now)
         if self._left or sender == self.me.name:
@@ -567,7 +610,9 @@
                 self._count(self.listed[name], True)
             self._probe = None
             self.health.note(-1)
-        if (errand := self._errands.pop(message.number, None)) is not None and errand.about == sender:
+        if (
+            errand := self._errands.pop(message.number, None)
+        ) is not None and errand.about == sender:
             out.append((errand.asker, self._message("ack", errand.number, about=sender)))
         m = self.listed.get(name)
         if m is not None and name != sender and m.claim.state in (ALIVE, SUSPECT):
@@ -628,7 +673,9 @@
                 self._set(claim)
             else:
                 self._look(claim, sender, address, out)
-        elif claim.by == sender and self.now - known.since < self.rules.lately * self.rules.interval:
+        elif (
+            claim.by == sender and self.now - known.since < self.rules.lately * self.rules.interval
+        ):
             out.append((address, Message("nack", 0, claim.name)))  # we have just found the same
 
     def _look(self, claim: Claim, teller: str, address: tuple[str, int], out: list[Out]) -> None:
@@ -637,7 +684,9 @@
         by = claim.by or teller
         if (fresh := self._fresh(m)) or self._bears_with(m):
             if by == teller:
-                out.append((address, Message("ack", 0, claim.name) if fresh else self._objection(0, m)))
+                out.append(
+                    (address, Message("ack", 0, claim.name) if fresh else self._objection(0, m))
+                )
             return
         if m.pursuit is None:
             # Who doubts it has asked twice: so long at least it has been silent.
@@ -653,7 +702,8 @@
         if claim.state == ALIVE:
             # An older run of ours, or one under our name: be newer than it.
             if claim.incarnation > self.me.incarnation or (
-                    claim.incarnation == self.me.incarnation and claim.address != self.me.address):
+                claim.incarnation == self.me.incarnation and claim.address != self.me.address
+            ):
                 self._rise(claim.incarnation)
         elif claim.incarnation >= self.me.incarnation:
             self.health.note(1)
@@ -668,7 +718,9 @@
         was = None if m is None else m.claim.state
         if m is None:
             m = self.listed[claim.name] = _Listed(claim, self.now)
-        if was in (DEAD, LEFT) and claim.state == ALIVE:  # whatever it was before, it is judged anew
+        if (
+            was in (DEAD, LEFT) and claim.state == ALIVE
+        ):  # whatever it was before, it is judged anew
             m.asked, m.link, m.through, m.deaf = 0.0, None, "", False
         m.claim, m.since, m.suspicion = claim, self.now, None
         if claim.state != SUSPECT:
@@ -679,7 +731,7 @@
             self._next_call = min(self._next_call, self.now + self.rules.interval)
         if was != claim.state:
             self.changes.append(claim)
-            del self.changes[:-2 * self.rules.most_members]
+            del self.changes[: -2 * self.rules.most_members]
 
     # -- news
 
@@ -687,7 +739,9 @@
         self._order += 1
         self._news[claim.name] = _News(claim, 0, self._order)
 
-    def _message(self, kind: str, number: int = 0, to: Claim | None = None, about: str = "") -> Message:
+    def _message(
+        self, kind: str, number: int = 0, to: Claim | None = None, about: str = ""
+    ) -> Message:
         """A message with what news fits. A ping says who pings; a member that we doubt is told so first."""
         first: list[Claim] = []
         if to is not None and to.state != ALIVE:
@@ -695,8 +749,12 @@
         if kind == "ping":
             first.append(self.me)
         news = [*first, *self._pick(8 - len(first), {c.name for c in first})]
-        return Message(kind, number, about or (to.name if to is not None and kind == "ping" else ""),
-                       tuple(news))
+        return Message(
+            kind,
+            number,
+            about or (to.name if to is not None and kind == "ping" else ""),
+            tuple(news),
+        )
 
     def _pick(self, most: int, but: set[str]) -> Iterator[Claim]:
         limit = math.ceil(self.rules.spread * math.log10(len(self.listed) + 2))
@@ -714,7 +772,7 @@
         start = next((i for i, name in enumerate(names) if name > after), 0)
         turned = names[start:] + names[:start]
         yield self.me
-        for name in turned[:self.rules.stretch - 1]:
+        for name in turned[: self.rules.stretch - 1]:
             yield self.listed[name].claim
 
     def _living(self) -> Iterator[Claim]:
--- a/yewrill/members/parts.py
+++ b/yewrill/members/parts.py
@@ -18,7 +18,7 @@
 
 def cut(data: bytes, number: int) -> list[bytes]:
     """A message as datagrams' cargo: each with its number, its place and how many there are."""
-    parts = [data[at:at + MOST_PART] for at in range(0, len(data), MOST_PART)] or [b""]
+    parts = [data[at : at + MOST_PART] for at in range(0, len(data), MOST_PART)] or [b""]
     if len(parts) > MOST_PARTS:
         raise Malformed("too long")
     return [msgpack.packb([number, at, len(parts), part]) for at, part in enumerate(parts)]
@@ -34,7 +34,11 @@
         """A whole message, once its last part has come. Raises Malformed."""
         try:
             number, at, count, part = msgpack.unpackb(cargo)
-            if not 0 <= at < count <= MOST_PARTS or not isinstance(part, bytes) or len(part) > MOST_PART:
+            if (
+                not 0 <= at < count <= MOST_PARTS
+                or not isinstance(part, bytes)
+                or len(part) > MOST_PART
+            ):
                 raise ValueError("part")
         except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
             raise Malformed(str(error)) from error
--- a/yewrill/net/destinations.py
+++ b/yewrill/net/destinations.py
@@ -66,7 +66,10 @@
 
 
 _WORD_ENDINGS = {
-    "done": Ending.SERVED, "failed": Ending.FAILED, "returned": Ending.TURNED_AWAY, "lost": Ending.RESET,
+    "done": Ending.SERVED,
+    "failed": Ending.FAILED,
+    "returned": Ending.TURNED_AWAY,
+    "lost": Ending.RESET,
 }
 
 
@@ -86,8 +89,16 @@
 
 
 class DestinationPool:
-    def __init__(self, decisions: Decisions, pool: PoolConfig, codec: DestinationCodec, *,
-                 most: int, connect_timeout: float, idle_limit: float):
+    def __init__(
+        self,
+        decisions: Decisions,
+        pool: PoolConfig,
+        codec: DestinationCodec,
+        *,
+        most: int,
+        connect_timeout: float,
+        idle_limit: float,
+    ):
         self._decisions = decisions
         self._pool = pool
         self._codec = codec
@@ -125,8 +136,12 @@
             outcome = await self._try(step, on_sent)
         if outcome is not None:
             return outcome
-        if not step.written:  # given up before its last byte went out: the destination never starts on it
-            ours = not step.sent or step.withdrawn is Ending.NOT_SENT  # which says nothing against it
+        if (
+            not step.written
+        ):  # given up before its last byte went out: the destination never starts on it
+            ours = (
+                not step.sent or step.withdrawn is Ending.NOT_SENT
+            )  # which says nothing against it
             return Ending.NOT_SENT if ours else Ending.UNREACHED, None
         return step.withdrawn or Ending.TIMED_OUT, None
 
@@ -159,8 +174,11 @@
         keep = False
         try:
             # Opening took time: the last look before the first byte.
-            if self._decisions.now() >= step.until or not self._pool.may_send(step.destination) \
-                    or _client_gone(step.operation):
+            if (
+                self._decisions.now() >= step.until
+                or not self._pool.may_send(step.destination)
+                or _client_gone(step.operation)
+            ):
                 keep = True
                 return Ending.NOT_SENT, None
             step.sent = self._decisions.now()
@@ -206,7 +224,10 @@
             return Ending.FAILED, None
         if self._codec.content_type:
             kinds = [value for name, value in response.headers if name == b"content-type"]
-            if not kinds or kinds[0].split(b";")[0].strip().lower() != self._codec.content_type.encode():
+            if (
+                not kinds
+                or kinds[0].split(b";")[0].strip().lower() != self._codec.content_type.encode()
+            ):
                 raise Garbled("wrong content type")
         decoder = self._codec.decoder()
         while True:
@@ -248,7 +269,9 @@
                 if not self._pool.may_send(name):  # opening took time
                     return Ending.TURNED_AWAY, None
                 path = LOAD_PATH if self._decisions.reports_load else PROBE_PATH
-                await line.http.connection.send(line.http.encode("GET", path, [("Host", "destination")]))
+                await line.http.connection.send(
+                    line.http.encode("GET", path, [("Host", "destination")])
+                )
                 response = await line.http.response()
                 line.rests_until = trio.current_time() + REST
                 if self._decisions.reports_load and response.status_code == 200:
@@ -348,8 +371,11 @@
         """Whether one more connection may be opened; an idle one gives way if need be."""
         if self.open < self._most:
             return True
-        oldest = min((lines for lines in self._idle.values() if lines),
-                     key=lambda lines: lines[0].idle_since, default=None)
+        oldest = min(
+            (lines for lines in self._idle.values() if lines),
+            key=lambda lines: lines[0].idle_since,
+            default=None,
+        )
         if oldest is None:
             return False
         self._drop(oldest.pop(0))
@@ -360,10 +386,16 @@
         if destination is None:
             self._distrust.pop(name, None)
         for line in self._idle.get(name, ()):
-            if destination is None or line.address != destination.address or not self._pool.may_send(name):
+            if (
+                destination is None
+                or line.address != destination.address
+                or not self._pool.may_send(name)
+            ):
                 self._drop(line)
         if name in self._idle:
-            self._idle[name] = [line for line in self._idle[name] if not line.http.connection.closed]
+            self._idle[name] = [
+                line for line in self._idle[name] if not line.http.connection.closed
+            ]
             if not self._idle[name]:
                 del self._idle[name]
 
@@ -374,7 +406,10 @@
         for name, lines in list(self._idle.items()):
             kept = []
             for line in lines:
-                if now - line.idle_since < self._keep and line.http.connection.quiet() is Quiet.IDLE:
+                if (
+                    now - line.idle_since < self._keep
+                    and line.http.connection.quiet() is Quiet.IDLE
+                ):
                     kept.append(line)
                 else:
                     self._drop(line)
--- a/yewrill/net/handover.py
+++ b/yewrill/net/handover.py
@@ -61,7 +61,9 @@
         self.told = False  # an elder that has told what it knows
         self.ready = False  # an heir that serves
         self.ids: set[str] = set()  # open there
-        self.noted: dict[int, trio.Event] = {}  # what the other side is yet to say that it has taken
+        self.noted: dict[
+            int, trio.Event
+        ] = {}  # what the other side is yet to say that it has taken
         self._pending = bytearray()
         self._news = trio.Event()
         self._count = 0
@@ -104,8 +106,14 @@
 
 
 class HandOver:
-    def __init__(self, path: Path, *, state: Callable[[], dict[str, Any]],
-                 hear: Callable[[dict[str, Any]], None], alone: Callable[[], None]):
+    def __init__(
+        self,
+        path: Path,
+        *,
+        state: Callable[[], dict[str, Any]],
+        hear: Callable[[dict[str, Any]], None],
+        alone: Callable[[], None],
+    ):
         self._path = path
         self._state = state  # what an heir needs to know
         self._hear = hear  # takes a state or a change
@@ -136,7 +144,9 @@
     async def run(self) -> None:
         """Join the elder, if there is one, and serve heirs from `take_name` on."""
         async with trio.open_nursery() as self._nursery:
-            if self.joined.is_set():  # anew after a fault: whoever has the name now is no elder of ours
+            if (
+                self.joined.is_set()
+            ):  # anew after a fault: whoever has the name now is no elder of ours
                 self._close_name()
                 self.take_name()
             elif (connection := await self._find()) is None:
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -33,7 +33,9 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
     arrived: float = 0.0  # when its first byte was read, on the loop's clock
-    passed: list[tuple[bytes, bytes]] = field(default_factory=list)  # the checked headers that go on
+    passed: list[tuple[bytes, bytes]] = field(
+        default_factory=list
+    )  # the checked headers that go on
 
     def one(self, name: bytes) -> str | None:
         """A header's value, None if absent. One given twice is ambiguous, so it is a bad request."""
@@ -187,5 +189,8 @@
                 data = self.connection.inbound.take()
                 read += len(data)
                 parser.receive_data(data)
-        return parser.our_state is h11.DONE and parser.their_state is h11.DONE \
+        return (
+            parser.our_state is h11.DONE
+            and parser.their_state is h11.DONE
             and not parser.trailing_data[0]
+        )
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -23,8 +23,12 @@
 # Seconds for a request to be whole, from its first byte, or the connection's beginning for the first one:
 # whoever says nothing, or half of something, has its error or its close within 3 s.
 REQUEST_TIME = 2.5
-SETTLED = 0.2  # seconds after which a connection that has asked for nothing yet may give way to a new one
-PART_BYTES = 64 * 1024  # read after the last reply, so that it arrives; what else is sent is left unread
+SETTLED = (
+    0.2  # seconds after which a connection that has asked for nothing yet may give way to a new one
+)
+PART_BYTES = (
+    64 * 1024
+)  # read after the last reply, so that it arrives; what else is sent is left unread
 SEND_TIME = 5.0  # seconds for a reply to be taken off our hands
 PART_TIME = 0.2  # seconds for a client to take its last reply and close
 SHORT_PAUSE = 0.05  # seconds to wait when there are no descriptors
@@ -45,7 +49,9 @@
         self.on_left: Callable[[Operation], None] = lambda operation: None
         self.gone = False
         self.answering = False  # a whole request is under way
-        self.overrun = False  # part of what it sent ahead has been dropped: nothing after can be read
+        self.overrun = (
+            False  # part of what it sent ahead has been dropped: nothing after can be read
+        )
         self.proven = False  # an operation of its has been carried
         self.since = self.opened = trio.current_time()  # since when it has nothing under way
         self.first_byte = 0.0
@@ -157,8 +163,12 @@
                 self.http.feed(data)
             elif isinstance(event, h11.Request):
                 check_framing(event)
-                request = Request(event.method.decode("ascii"), event.target.decode("ascii"),
-                                  list(event.headers), arrived=self.first_byte or trio.current_time())
+                request = Request(
+                    event.method.decode("ascii"),
+                    event.target.decode("ascii"),
+                    list(event.headers),
+                    arrived=self.first_byte or trio.current_time(),
+                )
                 lengths = [value for name, value in event.headers if name == b"content-length"]
                 if lengths and int(lengths[0]) > MAX_BODY:
                     raise BadRequest(413, "body over 64 KiB")
@@ -222,8 +232,16 @@
 class Listener:
     """Accepts clients within a bound and serves each until it or the program ends."""
 
-    def __init__(self, address: tuple[str, int], handler: Handler, most: int, *,
-                 inherited: int | None = None, patience: float | None = None, part: str = "clients"):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: Handler,
+        most: int,
+        *,
+        inherited: int | None = None,
+        patience: float | None = None,
+        part: str = "clients",
+    ):
         self._patience = patience  # seconds for a request to be whole, if not the usual ones
         self._part_name = part  # in the log
         if inherited is not None:
@@ -263,11 +281,16 @@
                 return  # nobody gives way to nobody
             if full and not self._evict():
                 if not self._full:
-                    log.warning("%s-full open=%d: new ones wait in the backlog", self._part_name,
-                                len(self.clients))
+                    log.warning(
+                        "%s-full open=%d: new ones wait in the backlog",
+                        self._part_name,
+                        len(self.clients),
+                    )
                     self._full = True
                 self._freed = trio.Event()
-                with trio.move_on_after(SHORT_PAUSE):  # by then others may have stayed silent for too long
+                with trio.move_on_after(
+                    SHORT_PAUSE
+                ):  # by then others may have stayed silent for too long
                     await self._freed.wait()
                 continue
             self._full = False
@@ -293,7 +316,9 @@
         except OSError as error:
             if error.errno in NO_DESCRIPTORS:
                 # Out of descriptors: those who wait stay in the backlog; the busy ones go on.
-                log.warning("no-descriptors %s=%d: %s", self._part_name, len(self.clients), error.strerror)
+                log.warning(
+                    "no-descriptors %s=%d: %s", self._part_name, len(self.clients), error.strerror
+                )
                 self._evict()
                 self._short = True
                 return False
@@ -313,12 +338,22 @@
         now = trio.current_time()
         settled, latest = now - SETTLED, now - SEND_TIME
         unproven = [c for c in self.clients if not c.proven and not c.answering]
-        going = self._longest_idle([c for c in unproven if c.since < settled], max(1, self._most // 32))
+        going = self._longest_idle(
+            [c for c in unproven if c.since < settled], max(1, self._most // 32)
+        )
         if not going and len(unproven) > self._most // 8:
             return False  # new ones wait the moment until these have had their time
         if not going:
-            going = self._longest_idle([c for c in self.clients if c.proven and c.resting
-                                        and (c.since < latest or not c.connection.on_its_way())], 1)
+            going = self._longest_idle(
+                [
+                    c
+                    for c in self.clients
+                    if c.proven
+                    and c.resting
+                    and (c.since < latest or not c.connection.on_its_way())
+                ],
+                1,
+            )
         for client in going:
             client.leave()
             self._forget(client)
@@ -327,8 +362,11 @@
     @staticmethod
     def _longest_idle(clients: list[Client], most: int) -> list[Client]:
         """The first of those without unread bytes; one whose bytes are read is idle if they are but half."""
-        waiting = (c for c in sorted(clients, key=lambda c: c.since)
-                   if len(c.connection.inbound) or c.connection.quiet() is not Quiet.STRAY)
+        waiting = (
+            c
+            for c in sorted(clients, key=lambda c: c.since)
+            if len(c.connection.inbound) or c.connection.quiet() is not Quiet.STRAY
+        )
         return list(islice(waiting, most))
 
     def _forget(self, client: Client) -> None:
@@ -416,7 +454,9 @@
                 # A fault in one exchange must lose neither the program nor this client's answer.
                 log.exception("exchange-fault")
                 if not client.gone and client.http.can_answer:
-                    await client.send(client.http.whole(Reply(500, b"internal fault\n"), close=True))
+                    await client.send(
+                        client.http.whole(Reply(500, b"internal fault\n"), close=True)
+                    )
                     await self._part(client)
                 return
             if client.gone:
--- a/yewrill/net/poolconfig.py
+++ b/yewrill/net/poolconfig.py
@@ -31,9 +31,15 @@
 HOLD_MS = 4000
 PATIENCE = 0.8  # seconds past the hold before discovery counts as silent
 ANEW = 3.0  # seconds for such a call: given up early, it still takes its turn in discovery's queue
-ANEW_HOLD_MS = 1000  # it is answered soon with or without news, so that contact is known to be there
-CONNECT = 0.5  # seconds for a connection to come up: a SYN that was swallowed is sent again late, 1 s on
-RETRY = 0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
+ANEW_HOLD_MS = (
+    1000  # it is answered soon with or without news, so that contact is known to be there
+)
+CONNECT = (
+    0.5  # seconds for a connection to come up: a SYN that was swallowed is sent again late, 1 s on
+)
+RETRY = (
+    0.1  # seconds before the next try after a failed one: within the 200 ms that keep a watch whole
+)
 # One that turns calls away has too many of them: those of a whole fleet at once. So they spread, each
 # dispatcher's at random over as many of these seconds as there are callers, and grow rarer. One that many
 # call may end what it has no time for by a reset too: there only the first pause in a row is short.
@@ -67,7 +73,9 @@
     def may_send(self, name: str) -> bool:
         """Whether new work may still go there: not once it drains, is gone or was taken out by hand."""
         destination = self._known.get(name)
-        return destination is not None and destination.state == api.RUNNING and name not in self._out
+        return (
+            destination is not None and destination.state == api.RUNNING and name not in self._out
+        )
 
     # -- taken out and put back by hand
 
@@ -116,10 +124,23 @@
 
     def snapshot(self) -> dict[str, Any]:
         """The list in discovery's form, for another run of this dispatcher."""
-        return {"version": self.version, "full": True, "servers": [
-            {"id": d.id, "addr": f"{d.address[0]}:{d.address[1]}", "zone": d.zone, "kind": d.kind,
-             "cell": d.cell, "state": STATE_WORDS[d.state], "weight": d.weight, "started_ms": d.started_ms}
-            for d in self._known.values()]}
+        return {
+            "version": self.version,
+            "full": True,
+            "servers": [
+                {
+                    "id": d.id,
+                    "addr": f"{d.address[0]}:{d.address[1]}",
+                    "zone": d.zone,
+                    "kind": d.kind,
+                    "cell": d.cell,
+                    "state": STATE_WORDS[d.state],
+                    "weight": d.weight,
+                    "started_ms": d.started_ms,
+                }
+                for d in self._known.values()
+            ],
+        }
 
     def apply(self, answer: dict[str, Any], cached: bool = False) -> None:
         """Take an answer of discovery's. Raises ConfigError on nonsense, leaving the list as it was."""
@@ -141,7 +162,9 @@
         if self._known != before:
             self.on_applied()
         if full or destinations:
-            self._decisions.pool_config(map(self._laid_over, destinations), full=full, cached=cached)
+            self._decisions.pool_config(
+                map(self._laid_over, destinations), full=full, cached=cached
+            )
 
 
 class TurnedAway(Exception):
@@ -194,24 +217,39 @@
                         if side is None:
                             with trio.fail_after(CONNECT):
                                 side = ClientSide(await Connection.open(address, ring=65536))
-                        response, body = await self._call(side, whole, ANEW_HOLD_MS if anew else HOLD_MS)
+                        response, body = await self._call(
+                            side, whole, ANEW_HOLD_MS if anew else HOLD_MS
+                        )
                     self._take(response, body, whole)
                     self._counted_by = address
                     self.heard.set()
                     whole = anew = False
                     failures = 0
                     if quiet:
-                        log.info("discovery-back version=%d destinations=%d", pool.version, len(pool))
+                        log.info(
+                            "discovery-back version=%d destinations=%d", pool.version, len(pool)
+                        )
                         quiet = False
                     if not side.settled():
                         side.connection.close()
                         side = None
-                except (OSError, PeerEnded, h11.ProtocolError, ConfigError, ValueError, TurnedAway,
-                        trio.TooSlowError) as error:
+                except (
+                    OSError,
+                    PeerEnded,
+                    h11.ProtocolError,
+                    ConfigError,
+                    ValueError,
+                    TurnedAway,
+                    trio.TooSlowError,
+                ) as error:
                     anew = True
                     if not quiet:
-                        log.warning("discovery-lost version=%d: %s %s", pool.version,
-                                    type(error).__name__, error)
+                        log.warning(
+                            "discovery-lost version=%d: %s %s",
+                            pool.version,
+                            type(error).__name__,
+                            error,
+                        )
                         quiet = True
                     if isinstance(error, TurnedAway) or (failures and self.callers > 1):
                         pause = pause_after(failures, self.callers, self._rng.random())
@@ -243,8 +281,13 @@
             raise ConfigError(f"discovery: status {response.status_code}")
         answer = ujson.loads(body)
         known = self._pool.version
-        if not whole and isinstance(answer, dict) and not answer.get("full") \
-                and isinstance(version := answer.get("version"), int) and version < known:
+        if (
+            not whole
+            and isinstance(answer, dict)
+            and not answer.get("full")
+            and isinstance(version := answer.get("version"), int)
+            and version < known
+        ):
             # It counts anew, so it would not tell of a change until it had counted up to where we are.
             raise ConfigError(f"discovery.version: {version}, after {known}")
         self._pool.apply(answer)
--- a/yewrill/net/ring.py
+++ b/yewrill/net/ring.py
@@ -25,14 +25,14 @@
         """The next free stretch, to be filled and then counted by `filled`."""
         capacity = len(self._data)
         tail = (self._head + self._size) % capacity
-        return self._view[tail:tail + min(self.room, capacity - tail)]
+        return self._view[tail : tail + min(self.room, capacity - tail)]
 
     def filled(self, count: int) -> None:
         self._size += count
 
     def pending(self) -> memoryview:
         """The oldest stretch of bytes, to be used and then dropped by `used`."""
-        return self._view[self._head:self._head + min(self._size, len(self._data) - self._head)]
+        return self._view[self._head : self._head + min(self._size, len(self._data) - self._head)]
 
     def used(self, count: int) -> None:
         self._size -= count
@@ -44,7 +44,7 @@
         while done < len(data) and self.room:
             space = self.space()
             count = min(len(space), len(data) - done)
-            space[:count] = data[done:done + count]
+            space[:count] = data[done : done + count]
             self.filled(count)
             done += count
         return done
--- a/yewrill/ownership/commands.py
+++ b/yewrill/ownership/commands.py
@@ -11,8 +11,14 @@
 
 from yewrill import doors as at
 
-_doors = click.option("--door", "doors", multiple=True, required=True, metavar="ADDRESS:PORT",
-                      help="A dispatcher's door; give one for each.")
+_doors = click.option(
+    "--door",
+    "doors",
+    multiple=True,
+    required=True,
+    metavar="ADDRESS:PORT",
+    help="A dispatcher's door; give one for each.",
+)
 
 
 @click.group()
@@ -41,7 +47,8 @@
     for said in told.values():
         for duty in said["duties"]:
             if duty["number"] >= best.get(duty["duty"], {"number": -1})["number"] and (
-                    duty["owner"] or duty["duty"] not in best):
+                duty["owner"] or duty["duty"] not in best
+            ):
                 best[duty["duty"]] = duty
     for name, duty in sorted(best.items()):
         click.echo(f"{name:<16} {duty['owner'] or 'nobody':<24} number {duty['number']}")
@@ -55,16 +62,27 @@
     told, whole = _ask(doors)
     for door, said in told.items():
         voter = said.get("voter")
-        state = "no voter" if voter is None else (
-            f"{voter['role']} of {voter['leader'] or 'nobody'}, term {voter['term']}, "
-            f"{voter['commit']} of {voter['entries']} entries"
-            + ("" if voter["counts"] else f", on probation: {', '.join(voter['unanswered']) or 'behind'}")
-            + (f", stood down: {voter['failed']}" if voter["failed"] else ""))
+        state = (
+            "no voter"
+            if voter is None
+            else (
+                f"{voter['role']} of {voter['leader'] or 'nobody'}, term {voter['term']}, "
+                f"{voter['commit']} of {voter['entries']} entries"
+                + (
+                    ""
+                    if voter["counts"]
+                    else f", on probation: {', '.join(voter['unanswered']) or 'behind'}"
+                )
+                + (f", stood down: {voter['failed']}" if voter["failed"] else "")
+            )
+        )
         click.echo(f"{door}  {state}")
         for duty in said["duties"]:
             ours = " (ours)" if duty["ours"] else ""
-            click.echo(f"  {duty['duty']:<14} {duty['owner'] or 'nobody'}{ours}  number {duty['number']}  "
-                       f"fence {duty['fence']}")
+            click.echo(
+                f"  {duty['duty']:<14} {duty['owner'] or 'nobody'}{ours}  number {duty['number']}  "
+                f"fence {duty['fence']}"
+            )
     sys.exit(not whole)
 
 
@@ -74,7 +92,9 @@
 def move(duty: str, doors: tuple[str, ...]) -> None:
     """Have the owner, whichever of these dispatchers it is, give a duty up; another gets it."""
     failed = False
-    for door, status, body in at.each(doors, "PUT", f"/_ownership/release?name={quote(duty, safe='')}"):
+    for door, status, body in at.each(
+        doors, "PUT", f"/_ownership/release?name={quote(duty, safe='')}"
+    ):
         if status != 200:
             failed = True
             click.echo(at.told(door, status, body), err=True)
--- a/yewrill/ownership/disk.py
+++ b/yewrill/ownership/disk.py
@@ -27,7 +27,9 @@
         snapshot = Snapshot(index, of, tuple(names), data)
     log = []
     for key, value in store.scan(prefix=ENTRY):
-        if int(key[len(ENTRY):]) == snapshot.index + len(log) + 1:  # what comes after a gap is no log
+        if (
+            int(key[len(ENTRY) :]) == snapshot.index + len(log) + 1
+        ):  # what comes after a gap is no log
             of, kind, data, names = msgpack.unpackb(value)
             log.append(Entry(of, kind, data, tuple(names)))
     return Disk(term, vote, tuple(log), snapshot), incarnation
@@ -43,14 +45,16 @@
     new = dict(enumerate(now.log, now.snapshot.index + 1))
     for index, entry in new.items():
         if old.get(index) != entry:
-            batch.put(_entry(index), msgpack.packb([entry.term, entry.kind, entry.data, entry.voters]))
+            batch.put(
+                _entry(index), msgpack.packb([entry.term, entry.kind, entry.data, entry.voters])
+            )
     for index in old.keys() - new.keys():
         batch.delete(_entry(index))
     return batch
 
 
 def read_fences(store: Store) -> dict[str, int]:
-    return {key[len(FENCE):].decode(): int(value) for key, value in store.scan(prefix=FENCE)}
+    return {key[len(FENCE) :].decode(): int(value) for key, value in store.scan(prefix=FENCE)}
 
 
 def fence(duty: str, number: int) -> Batch:
--- a/yewrill/ownership/duties.py
+++ b/yewrill/ownership/duties.py
@@ -52,7 +52,9 @@
 @dataclass
 class Duties:
     clock: int = 0
-    numbers: dict[str, int] = field(default_factory=dict)  # the highest of each duty; they only grow
+    numbers: dict[str, int] = field(
+        default_factory=dict
+    )  # the highest of each duty; they only grow
     held: dict[str, Holding] = field(default_factory=dict)
     done: dict[str, tuple[int, Result]] = field(default_factory=dict)  # each member's last request
 
@@ -79,7 +81,11 @@
     def _apply(self, c: Command) -> Result:
         now = self.view(c.duty, self.clock)
         mine = now.owner == c.owner and now.number == c.number
-        if c.what == CLAIM and not now.owner and (c.duty in self.numbers or len(self.numbers) < MOST_DUTIES):
+        if (
+            c.what == CLAIM
+            and not now.owner
+            and (c.duty in self.numbers or len(self.numbers) < MOST_DUTIES)
+        ):
             number = self.numbers.get(c.duty, 0) + 1
             self.numbers[c.duty] = number
         elif c.what == RENEW and mine:
@@ -104,8 +110,12 @@
         if not data:
             return cls()
         clock, numbers, held, done = msgpack.unpackb(data)
-        return cls(clock, numbers, {duty: Holding(*h) for duty, h in held.items()},
-                   {who: (id, Result(*r)) for who, (id, *r) in done.items()})
+        return cls(
+            clock,
+            numbers,
+            {duty: Holding(*h) for duty, h in held.items()},
+            {who: (id, Result(*r)) for who, (id, *r) in done.items()},
+        )
 
 
 def pack_command(at: int, command: Command) -> bytes:
--- a/yewrill/ownership/facade.py
+++ b/yewrill/ownership/facade.py
@@ -54,7 +54,9 @@
         self._woken = trio.Event()
         self._wanted: set[str] = set()
         self._machines: dict[str, StateMachine] = {}
-        self._answers: dict[int, trio.Event] = {}  # who waits for what was submitted; bounded by the node
+        self._answers: dict[
+            int, trio.Event
+        ] = {}  # who waits for what was submitted; bounded by the node
         self._number = random.SystemRandom().getrandbits(40)  # of messages that are cut in parts
         self._lost = self._malformed = 0
         self.calls = {"release": self._release}
@@ -104,7 +106,11 @@
         after `patience` seconds, when it may have taken effect or not: it may be said again under the same
         number of the machine's own."""
         node = self._node
-        number = 0 if node is None or self._outside() else node.submit(machine, data, trio.current_time())
+        number = (
+            0
+            if node is None or self._outside()
+            else node.submit(machine, data, trio.current_time())
+        )
         if node is None or not number:
             raise Unanswered("no log is to be reached")
         waiting = self._answers[number] = trio.Event()
@@ -163,13 +169,27 @@
         self._incarnation = max(before + 1, time.time_ns() // 1_000_000)
         await store.awrite(on_disk.changes(None, self._disk, self._incarnation))
         rng = random.Random(random.SystemRandom().getrandbits(64))
-        node = Node(me, voters, self._disk, self._incarnation, rng, trio.current_time(),
-                    span=self._config.span, trust_disk=self._config.trust_disk, machines=self._machines)
+        node = Node(
+            me,
+            voters,
+            self._disk,
+            self._incarnation,
+            rng,
+            trio.current_time(),
+            span=self._config.span,
+            trust_disk=self._config.trust_disk,
+            machines=self._machines,
+        )
         node.fence.highest = on_disk.read_fences(store)
         self._node = node
         self._woken.set()  # what was wanted before is asked for
-        log.info("ownership name=%s voter=%s term=%d entries=%d", me, me in voters, self._disk.term,
-                 self._disk.snapshot.index + len(self._disk.log))
+        log.info(
+            "ownership name=%s voter=%s term=%d entries=%d",
+            me,
+            me in voters,
+            self._disk.term,
+            self._disk.snapshot.index + len(self._disk.log),
+        )
 
     def _receive(self, data: bytes, sender: str, address: tuple[str, int]) -> list:
         if len(self._queue) < MOST_QUEUED:
@@ -206,8 +226,12 @@
                 number = self.owns(duty)
                 if number != owned.get(duty, 0):
                     owned[duty] = number
-                    log.info("owner duty=%s number=%d %s", duty, number or node.known.get(duty, ("", 0))[1],
-                             "is ours" if number else "is not ours any more")
+                    log.info(
+                        "owner duty=%s number=%d %s",
+                        duty,
+                        number or node.known.get(duty, ("", 0))[1],
+                        "is ours" if number else "is not ours any more",
+                    )
 
     def _heed_views(self, node: Node, now: float) -> None:
         """Out of the agreed views, let others have our duties; back in one, want them again."""
@@ -256,17 +280,31 @@
         node, now = self._node, trio.current_time()
         if node is None:
             return {"duties": []}
-        found: dict[str, Any] = {"duties": [
-            {"duty": duty, "number": self.seen(duty, now)[0], "owner": self.seen(duty, now)[1],
-             "ours": bool(self.owns(duty)), "fence": node.fence.highest.get(duty, 0)}
-            for duty in sorted(self._wanted)]}
+        found: dict[str, Any] = {
+            "duties": [
+                {
+                    "duty": duty,
+                    "number": self.seen(duty, now)[0],
+                    "owner": self.seen(duty, now)[1],
+                    "ours": bool(self.owns(duty)),
+                    "fence": node.fence.highest.get(duty, 0),
+                }
+                for duty in sorted(self._wanted)
+            ]
+        }
         if node.driver is not None:
             raft = node.driver.raft
             missing = set() if raft.counts else set(raft.voters()) - raft.answered - {raft.me}
             found["voter"] = {
-                "role": raft.role, "leader": raft.leader, "term": raft.term, "commit": raft.commit,
-                "entries": raft.last, "counts": raft.counts, "failed": node.failed,
-                "unanswered": sorted(missing)}
+                "role": raft.role,
+                "leader": raft.leader,
+                "term": raft.term,
+                "commit": raft.commit,
+                "entries": raft.last,
+                "counts": raft.counts,
+                "failed": node.failed,
+                "unanswered": sorted(missing),
+            }
         return {**found, **self.figures()}
 
     def figures(self) -> Mapping[str, int]:
@@ -274,6 +312,10 @@
         node = self._node
         if node is None:
             return {}
-        return {"ownership_elected": node.elected, "ownership_fenced": node.fence.refused,
-                "ownership_lost": self._lost, "ownership_malformed": self._malformed,
-                "ownership_failed": int(bool(node.failed))}
+        return {
+            "ownership_elected": node.elected,
+            "ownership_fenced": node.fence.refused,
+            "ownership_lost": self._lost,
+            "ownership_malformed": self._malformed,
+            "ownership_failed": int(bool(node.failed)),
+        }
--- a/yewrill/ownership/format.py
+++ b/yewrill/ownership/format.py
@@ -66,12 +66,28 @@
         return msgpack.packb([REQUEST, c.what, c.duty, c.owner, c.id, c.number, c.span])
     if isinstance(what, Reply):
         r = what.result
-        return msgpack.packb([REPLY, what.id, what.final, r.ok, r.number, r.owner, r.left, what.leader])
+        return msgpack.packb(
+            [REPLY, what.id, what.final, r.ok, r.number, r.owner, r.left, what.leader]
+        )
     m, s = what, what.snapshot
-    return msgpack.packb([
-        LOG, m.kind, m.sender, m.to, m.incarnation, m.term, m.number, m.index, m.of, m.yes, m.counts,
-        m.commit, [[e.term, e.kind, e.data, e.voters] for e in m.entries],
-        None if s is None else [s.index, s.term, s.voters, s.data]])
+    return msgpack.packb(
+        [
+            LOG,
+            m.kind,
+            m.sender,
+            m.to,
+            m.incarnation,
+            m.term,
+            m.number,
+            m.index,
+            m.of,
+            m.yes,
+            m.counts,
+            m.commit,
+            [[e.term, e.kind, e.data, e.voters] for e in m.entries],
+            None if s is None else [s.index, s.term, s.voters, s.data],
+        ]
+    )
 
 
 def unpack(data: bytes) -> Said:
@@ -83,23 +99,55 @@
             return Submit(_text(machine), _whole(id), _bytes(body, MOST_DATA))
         if kind == SUBMITTED:
             id, final, ok, body, leader = rest
-            return Submitted(_whole(id), _truth(final), _truth(ok), _bytes(body, MOST_DATA), _text(leader))
+            return Submitted(
+                _whole(id), _truth(final), _truth(ok), _bytes(body, MOST_DATA), _text(leader)
+            )
         if kind == REQUEST:
             what, duty, owner, id, number, span = rest
-            return Request(Command(_text(what), _text(duty), _text(owner), _whole(id), _whole(number),
-                                   _whole(span)))
+            return Request(
+                Command(
+                    _text(what), _text(duty), _text(owner), _whole(id), _whole(number), _whole(span)
+                )
+            )
         if kind == REPLY:
             id, final, ok, number, owner, left, leader = rest
-            return Reply(_whole(id), _truth(final),
-                         Result(_truth(ok), _whole(number), _text(owner), _whole(left)), _text(leader))
+            return Reply(
+                _whole(id),
+                _truth(final),
+                Result(_truth(ok), _whole(number), _text(owner), _whole(left)),
+                _text(leader),
+            )
         if kind == LOG:
-            (name, sender, to, incarnation, term, number, index, of, yes, counts, commit, entries,
-             snapshot) = rest
+            (
+                name,
+                sender,
+                to,
+                incarnation,
+                term,
+                number,
+                index,
+                of,
+                yes,
+                counts,
+                commit,
+                entries,
+                snapshot,
+            ) = rest
             return Message(
-                _text(name), _text(sender), _text(to), _whole(incarnation), _whole(term), _whole(number),
-                _whole(index), _whole(of), _truth(yes), _truth(counts), _whole(commit),
+                _text(name),
+                _text(sender),
+                _text(to),
+                _whole(incarnation),
+                _whole(term),
+                _whole(number),
+                _whole(index),
+                _whole(of),
+                _truth(yes),
+                _truth(counts),
+                _whole(commit),
                 tuple(Entry(_whole(t), _text(k), _bytes(d), _names(v)) for t, k, d, v in entries),
-                None if snapshot is None else _snapshot(*snapshot))
+                None if snapshot is None else _snapshot(*snapshot),
+            )
     except (ValueError, TypeError, msgpack.exceptions.UnpackException, RecursionError) as error:
         raise Malformed(str(error)) from error
     raise Malformed("kind")
--- a/yewrill/ownership/node.py
+++ b/yewrill/ownership/node.py
@@ -61,15 +61,29 @@
 
 
 class Node:
-    def __init__(self, me: str, voters: Iterable[str], disk: Disk, incarnation: int, rng: random.Random,
-                 now: float, *, span: float = 3.0, trust_disk: bool = False, times: Times | None = None,
-                 machines: Mapping[str, StateMachine] | None = None):
+    def __init__(
+        self,
+        me: str,
+        voters: Iterable[str],
+        disk: Disk,
+        incarnation: int,
+        rng: random.Random,
+        now: float,
+        *,
+        span: float = 3.0,
+        trust_disk: bool = False,
+        times: Times | None = None,
+        machines: Mapping[str, StateMachine] | None = None,
+    ):
         self.machines = dict(machines or {})
         self.results: dict[int, bytes | None] = {}  # of what was submitted; None: no such machine
         self.me, self.voters, self.span = me, tuple(voters), span
         self._rng = rng
-        self.driver = Driver(Raft(me, incarnation, disk, trust_disk=trust_disk), rng, now, times) \
-            if me in self.voters else None
+        self.driver = (
+            Driver(Raft(me, incarnation, disk, trust_disk=trust_disk), rng, now, times)
+            if me in self.voters
+            else None
+        )
         self.duties = Duties()
         self.fence = Fence()
         self.wanted: set[str] = set()
@@ -83,7 +97,9 @@
         self._at: dict[str, float] = {}  # when each duty is to be asked for next
         self._leader = ""
         self._led: tuple[int, float, int] = (0, 0.0, 0)  # term, since when, the log's time then
-        self._waiting: dict[int, tuple[int, str, int]] = {}  # of an entry: its term, who asked, which request
+        self._waiting: dict[
+            int, tuple[int, str, int]
+        ] = {}  # of an entry: its term, who asked, which request
         if self.driver is not None:
             self._apply(self.driver.raft.take(), Step(), now)
 
@@ -107,7 +123,11 @@
 
     @property
     def due(self) -> float:
-        at = [self._at.get(duty, 0.0) for duty in self.wanted] if self._asked is None else [self._asked.again]
+        at = (
+            [self._at.get(duty, 0.0) for duty in self.wanted]
+            if self._asked is None
+            else [self._asked.again]
+        )
         at += [one.again for one in self._submitted.values()]
         if self.driver is not None and not self.failed:
             at.append(self.driver.due)
@@ -248,7 +268,9 @@
     def _log_time(self, now: float) -> int:
         term, since, began = self._led
         at = began + int(1000 * (now - since))
-        if at < self.duties.clock:  # entries applied since then are of a later time: go on from there
+        if (
+            at < self.duties.clock
+        ):  # entries applied since then are of a later time: go on from there
             at = self.duties.clock
             self._led = term, now, at
         return at
@@ -264,7 +286,11 @@
         if command.what == CLAIM and view.owner:  # no entry for what will be refused
             self._to(step, command.owner, Reply(command.id, True, view), now)
             return
-        index = raft.propose(ORDER, pack_command(at, command)) if len(self._waiting) < MOST_WAITING else 0
+        index = (
+            raft.propose(ORDER, pack_command(at, command))
+            if len(self._waiting) < MOST_WAITING
+            else 0
+        )
         if index:
             self._waiting[index] = raft.term, command.owner, command.id
         self._apply(raft.take(), step, now)
@@ -288,7 +314,9 @@
         for index, entry in out.committed:
             if entry.kind == STATE:
                 at, name, data = unpack_entry(entry.data)
-                if name not in self.machines:  # never skipped: what came after it would rest on nothing
+                if (
+                    name not in self.machines
+                ):  # never skipped: what came after it would rest on nothing
                     self.fail(f"the log has an entry that this version can't read: {name}")
                     return
                 self.duties.clock = max(self.duties.clock, at)
--- a/yewrill/ownership/raft.py
+++ b/yewrill/ownership/raft.py
@@ -66,8 +66,12 @@
     to: str
     incarnation: int  # the sender's
     term: int = 0
-    number: int = 0  # ask, remember: the asker's incarnation; append, appended: the beat; prevote: 1
-    index: int = 0  # prevote, vote: the last entry's; append: the one before; appended: up to here; snapshot
+    number: int = (
+        0  # ask, remember: the asker's incarnation; append, appended: the beat; prevote: 1
+    )
+    index: int = (
+        0  # prevote, vote: the last entry's; append: the one before; appended: up to here; snapshot
+    )
     of: int = 0  # that entry's term; remember: the term of what is remembered
     yes: bool = False  # voted, appended: granted, matched; remember: a vote
     counts: bool = True  # appended: the sender's word counts in a majority
@@ -175,7 +179,9 @@
             self._stand()
             return
         for name in self._others():
-            self._say("prevote", name, term=self.term + 1, index=self.last, of=self.term_at(self.last))
+            self._say(
+                "prevote", name, term=self.term + 1, index=self.last, of=self.term_at(self.last)
+            )
 
     def check(self) -> None:
         """Once in an election's time: a leader that has not heard a majority steps down."""
@@ -191,7 +197,7 @@
         if kind == VOTERS:
             # One change at a time, by one voter, and only after an entry of this term is committed: else two
             # majorities could be formed that have nobody in common.
-            pending = any(e.kind == VOTERS for e in self.log[self.commit - self.snapshot.index:])
+            pending = any(e.kind == VOTERS for e in self.log[self.commit - self.snapshot.index :])
             by_one = len(set(voters) ^ set(self.voters())) == 1
             if pending or not by_one or self.term_at(self.commit) != self.term:
                 return 0
@@ -216,9 +222,9 @@
     def compact(self, index: int, data: bytes) -> None:
         """The entries up to an index, which were applied, are this state."""
         if self.snapshot.index < index <= self.commit:
-            term, kept = self.term_at(index), self.log[index - self.snapshot.index:]
+            term, kept = self.term_at(index), self.log[index - self.snapshot.index :]
             voters = self.snapshot.voters
-            for entry in self.log[:index - self.snapshot.index]:
+            for entry in self.log[: index - self.snapshot.index]:
                 voters = entry.voters if entry.kind == VOTERS else voters
             self.snapshot, self.log = Snapshot(index, term, voters, data), kept
             self._save()
@@ -230,7 +236,9 @@
             return  # of an earlier incarnation, which may have lost what it says
         if m.incarnation > self.known.get(m.sender, 0):
             self.known[m.sender] = m.incarnation
-            self.match.pop(m.sender, None)  # its word until now does not count any more for what is to come
+            self.match.pop(
+                m.sender, None
+            )  # its word until now does not count any more for what is to come
             self.votes.discard(m.sender)
         if m.kind == "ask":
             term, index, voted = self.memory.get(m.sender, (0, 0, False))
@@ -241,8 +249,12 @@
             return
         if m.kind == "prevote":
             # No promise: nothing is kept. Who hears a leader, or can't vote, does not help to unseat it.
-            yes = self.counts and m.term > self.term and self._newer(m) and (
-                not self.leader or self.role == CANDIDATE)
+            yes = (
+                self.counts
+                and m.term > self.term
+                and self._newer(m)
+                and (not self.leader or self.role == CANDIDATE)
+            )
             self._say("voted", m.sender, term=m.term if yes else self.term, number=1, yes=yes)
             return
         if m.kind == "voted" and m.number == 1:
@@ -347,29 +359,47 @@
     def _append(self, name: str) -> None:
         before = self.next.get(name, self.last + 1) - 1
         if before < self.snapshot.index:
-            self._say("snapshot", name, number=self.round, index=self.snapshot.index, of=self.snapshot.term,
-                      snapshot=self.snapshot, commit=self.commit)
+            self._say(
+                "snapshot",
+                name,
+                number=self.round,
+                index=self.snapshot.index,
+                of=self.snapshot.term,
+                snapshot=self.snapshot,
+                commit=self.commit,
+            )
             return
         at = before - self.snapshot.index
-        entries = tuple(self.log[at:at + BATCH])
-        self._say("append", name, number=self.round, index=before, of=self.term_at(before), entries=entries,
-                  commit=self.commit)
+        entries = tuple(self.log[at : at + BATCH])
+        self._say(
+            "append",
+            name,
+            number=self.round,
+            index=before,
+            of=self.term_at(before),
+            entries=entries,
+            commit=self.commit,
+        )
 
     def _on_append(self, m: Message) -> None:
         self._follow(m.term, m.sender)
-        if m.index > self.last or (m.index >= self.snapshot.index and self.term_at(m.index) != m.of):
+        if m.index > self.last or (
+            m.index >= self.snapshot.index and self.term_at(m.index) != m.of
+        ):
             # Not the same up to there: the furthest that may be, the leader steps back no further.
             back = min(self.last, m.index - 1)
             while back > self.snapshot.index and self.term_at(back) > m.of:
                 back -= 1
             index = max(back, self.snapshot.index)
-            self._say("appended", m.sender, number=m.number, index=index, yes=False, counts=self.counts)
+            self._say(
+                "appended", m.sender, number=m.number, index=index, yes=False, counts=self.counts
+            )
             return
         changed = False
         for i, entry in enumerate(m.entries, m.index + 1):
             if i <= self.snapshot.index or self.term_at(i) == entry.term:
                 continue
-            del self.log[i - self.snapshot.index - 1:]
+            del self.log[i - self.snapshot.index - 1 :]
             self.log.append(entry)
             changed = True
         if changed:
@@ -383,7 +413,7 @@
         found = m.snapshot
         if found is not None and found.index > self.commit:
             same = self.term_at(found.index) == found.term
-            kept = self.log[found.index - self.snapshot.index:] if same else []
+            kept = self.log[found.index - self.snapshot.index :] if same else []
             self.snapshot, self.log, self.commit = found, kept, found.index
             self.out.installed, self.out.committed = found, []
             self._save()
@@ -407,7 +437,13 @@
             self._advance()
             self._confirm_reads(name, m.number)
         elif m.index >= self.commit and self.term_at(self.commit) == self.term:
-            self._say("confirm", name, number=m.incarnation, index=self.commit, of=self.term_at(self.commit))
+            self._say(
+                "confirm",
+                name,
+                number=m.incarnation,
+                index=self.commit,
+                of=self.term_at(self.commit),
+            )
         if self.next[name] <= self.last:
             self._append(name)
 
@@ -416,7 +452,9 @@
         for index in range(self.last, self.commit, -1):
             if self.term_at(index) != self.term:
                 return
-            if self._majority({self.me} | {name for name, upto in self.match.items() if upto >= index}):
+            if self._majority(
+                {self.me} | {name for name, upto in self.match.items() if upto >= index}
+            ):
                 self._commit_to(index)
                 return
 
--- a/yewrill/ownership/states.py
+++ b/yewrill/ownership/states.py
@@ -43,7 +43,9 @@
     """One snapshot. Without machines it is as it was before there were any."""
     if not machines:
         return duties.pack()
-    return msgpack.packb([PARTS, duties.pack(), {name: one.pack() for name, one in machines.items()}])
+    return msgpack.packb(
+        [PARTS, duties.pack(), {name: one.pack() for name, one in machines.items()}]
+    )
 
 
 def restore_all(data: bytes, machines: Mapping[str, StateMachine]) -> tuple[Duties, str]:
--- a/yewrill/ownership/timing.py
+++ b/yewrill/ownership/timing.py
@@ -14,7 +14,9 @@
 @dataclass(frozen=True, slots=True)
 class Times:
     beat: float = 0.1  # between two words of a leader
-    election: float = 0.6  # at the least, without a leader, before standing; up to twice that by chance
+    election: float = (
+        0.6  # at the least, without a leader, before standing; up to twice that by chance
+    )
 
 
 class Driver:
--- a/yewrill/remember.py
+++ b/yewrill/remember.py
@@ -43,15 +43,30 @@
         return self.job_class, self.tenant, self.key
 
     def encode(self) -> dict[str, Any]:
-        return {"class": self.job_class, "tenant": self.tenant, "key": self.key, "to": self.destination,
-                "zone": self.zone, "cell": self.cell, "wall": self.at.wall, "steady": self.at.steady,
-                "boot": self.at.boot}
+        return {
+            "class": self.job_class,
+            "tenant": self.tenant,
+            "key": self.key,
+            "to": self.destination,
+            "zone": self.zone,
+            "cell": self.cell,
+            "wall": self.at.wall,
+            "steady": self.at.steady,
+            "boot": self.at.boot,
+        }
 
     @staticmethod
     def decode(raw: Mapping[str, Any]) -> Sent:
         """Raises KeyError, TypeError or ValueError on anything else."""
-        return Sent(str(raw["class"]), str(raw["tenant"]), str(raw["key"]), str(raw["to"]), int(raw["zone"]),
-                    int(raw["cell"]), Clocks(float(raw["wall"]), float(raw["steady"]), str(raw["boot"])))
+        return Sent(
+            str(raw["class"]),
+            str(raw["tenant"]),
+            str(raw["key"]),
+            str(raw["to"]),
+            int(raw["zone"]),
+            int(raw["cell"]),
+            Clocks(float(raw["wall"]), float(raw["steady"]), str(raw["boot"])),
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/yewrill/rendezvous.py
+++ b/yewrill/rendezvous.py
@@ -29,7 +29,9 @@
     return x ^ x >> 31
 
 
-def homes(key: str, nodes: Iterable[Node], most: int, number_of: Callable[[Node], int]) -> list[Node]:
+def homes(
+    key: str, nodes: Iterable[Node], most: int, number_of: Callable[[Node], int]
+) -> list[Node]:
     """The first `most` of the nodes that a key belongs to, the foremost first."""
     of_key = number(key)
     return nlargest(most, nodes, key=lambda node: weight(of_key, number_of(node)))
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -39,8 +39,17 @@
 
 READY_PATH = "/up"
 # What a reload changes; all else stands for as long as the program runs.
-RELOADED = ("discovery", "answer_margin_ms", "linger_ms", "grace_ms", "settings", "places", "stated",
-            "connect_timeout_ms", "idle_close_ms")
+RELOADED = (
+    "discovery",
+    "answer_margin_ms",
+    "linger_ms",
+    "grace_ms",
+    "settings",
+    "places",
+    "stated",
+    "connect_timeout_ms",
+    "idle_close_ms",
+)
 # Before the end of the grace that SIGTERM leaves: until when, in ms, requests are taken, and answers wait.
 LAST_REQUEST, LAST_ANSWER = 900.0, 250.0
 # How long, in seconds, an heir waits for discovery's own word before it serves by the elder's list.
@@ -71,7 +80,9 @@
         self.leaving = False  # connections close after their answer
         self.decisions = Decisions(config.settings, config.seed)
         self.pool = PoolConfig(self.decisions, config.places)
-        self._open: set[str] = set()  # ids of operations under way, those of clients that have left too
+        self._open: set[str] = (
+            set()
+        )  # ids of operations under way, those of clients that have left too
         self.nursery: trio.Nursery
         self.watch = Watch(config.discovery, self.pool, config.seed, _callers(config))
         self.figures = Figures()
@@ -79,10 +90,17 @@
         self.front = _front(config)
         clients, destinations = _parts(config.limits.sockets)
         self.destinations = DestinationPool(
-            self.decisions, self.pool, self.front, most=destinations,
-            connect_timeout=config.connect_timeout_ms / 1000.0, idle_limit=config.idle_close_ms / 1000.0)
+            self.decisions,
+            self.pool,
+            self.front,
+            most=destinations,
+            connect_timeout=config.connect_timeout_ms / 1000.0,
+            idle_limit=config.idle_close_ms / 1000.0,
+        )
         self.destinations.on_written = self.figures.dispatched
-        self.listener = Listener(config.listen, self._handle, clients, inherited=config.inherited_fd)
+        self.listener = Listener(
+            config.listen, self._handle, clients, inherited=config.inherited_fd
+        )
         self.keeper: Keeper | None = None  # what is kept over a restart
         if config.state is not None:
             from yewrill.keeping import Keeper
@@ -90,8 +108,11 @@
             self.keeper = Keeper(config.state, self.pool, self.figures)
             self.figures.know_state()
             self.destinations.promise = self.keeper.promise
-        around = Around(self.decisions, self.pool,
-                        self.destinations.attempt if self.keeper is None else self._kept_attempt)
+        around = Around(
+            self.decisions,
+            self.pool,
+            self.destinations.attempt if self.keeper is None else self._kept_attempt,
+        )
         self.hooks = hooks_of(config, around)
         self._attempt = around.attempt
         self.door: Door | None = None
@@ -108,11 +129,19 @@
         if config.inherited_fd is not None and config.link_dir is not None:
             from yewrill.net.handover import HandOver, link_path
 
-            self.handover = HandOver(link_path(config.link_dir, config.name, config.listen),
-                                     state=self._known_here, hear=self._hear, alone=self._bound)
-
-    async def run(self, *, signals: bool = True,
-                  task_status: trio.TaskStatus[Service] = trio.TASK_STATUS_IGNORED) -> None:
+            self.handover = HandOver(
+                link_path(config.link_dir, config.name, config.listen),
+                state=self._known_here,
+                hear=self._hear,
+                alone=self._bound,
+            )
+
+    async def run(
+        self,
+        *,
+        signals: bool = True,
+        task_status: trio.TaskStatus[Service] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Serve until SIGTERM (or `drain`), then finish what was taken and return."""
         if self.config.known is not None:
             self.pool.apply(dict(self.config.known), cached=True)
@@ -120,12 +149,18 @@
         self.decisions.tick()
         async with trio.open_nursery() as listening:
             await self._serve(kept, listening if signals else None, task_status)
-            for _ in range(LAST_TURNS):  # a signal of the last instant is still heard, not left to kill us
+            for _ in range(
+                LAST_TURNS
+            ):  # a signal of the last instant is still heard, not left to kill us
                 await trio.lowlevel.checkpoint()
             listening.cancel_scope.cancel()
 
-    async def _serve(self, kept: dict[str, Any] | None, listening: trio.Nursery | None,
-                     task_status: trio.TaskStatus[Service]) -> None:
+    async def _serve(
+        self,
+        kept: dict[str, Any] | None,
+        listening: trio.Nursery | None,
+        task_status: trio.TaskStatus[Service],
+    ) -> None:
         """`listening`: where signals are listened to, until everything else is closed too."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
@@ -146,8 +181,13 @@
                 await listening.start(self._on_signal, nursery)
             await self._join()
             self.serving = True
-            log.info("ready name=%s listen=%s:%d front=%s destinations=%d", self.config.name,
-                     *self.listener.address, self.config.front, len(self.pool))
+            log.info(
+                "ready name=%s listen=%s:%d front=%s destinations=%d",
+                self.config.name,
+                *self.listener.address,
+                self.config.front,
+                len(self.pool),
+            )
             if self.handover is None:
                 # After that line, so that the log tells of the start first and of a silent discovery second.
                 nursery.start_soon(_keep, self.watch.run)
@@ -170,16 +210,20 @@
         if self.door is not None:
             self.door.close()
 
-    async def _on_signal(self, nursery: trio.Nursery,
-                         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+    async def _on_signal(
+        self, nursery: trio.Nursery, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
             task_status.started()
             async for number in received:
                 if number == signal.SIGHUP:
                     self.reload()
                 elif not self.draining:
-                    log.info("draining signal=%s clients=%d", signal.Signals(number).name,
-                             len(self.listener.clients))
+                    log.info(
+                        "draining signal=%s clients=%d",
+                        signal.Signals(number).name,
+                        len(self.listener.clients),
+                    )
                     nursery.start_soon(self.drain)
 
     def reload(self) -> None:
@@ -189,11 +233,15 @@
         try:
             config = self._load()
             check_succession(self.config, config)
-        except Exception as error:  # whatever is wrong with the file, the one that served so far goes on
+        except (
+            Exception
+        ) as error:  # whatever is wrong with the file, the one that served so far goes on
             log.error("reload-refused %s", error if isinstance(error, ConfigError) else repr(error))
             self.figures.reloaded(False)
             return
-        self.config = taken = replace(self.config, **{key: getattr(config, key) for key in RELOADED})
+        self.config = taken = replace(
+            self.config, **{key: getattr(config, key) for key in RELOADED}
+        )
         # In one moment: what is read from here on has the new positions, here and in the module.
         self.front.reader.retune(taken.settings, taken.answer_margin_ms)
         self.decisions.retune(taken.settings)
@@ -207,8 +255,11 @@
             self.traced.tracer.event("reloaded")
             if config.tracing is not None:
                 self.config = taken = replace(taken, tracing=self.traced.retune(config.tracing))
-        log.info("reloaded discovery=%s:%d classes=%s", *taken.discovery,
-                 ",".join(c.name for c in taken.settings.classes))
+        log.info(
+            "reloaded discovery=%s:%d classes=%s",
+            *taken.discovery,
+            ",".join(c.name for c in taken.settings.classes),
+        )
         if others := differing(taken, config):
             log.warning("reload-ignored keys=%s: a restart takes them up", ",".join(others))
 
@@ -227,7 +278,9 @@
         else:
             await trio.sleep_until(began + config.linger_ms / 1000.0)
             self.listener.stop_accepting()
-        with trio.move_on_at(began + max(config.linger_ms, config.grace_ms - LAST_REQUEST) / 1000.0):
+        with trio.move_on_at(
+            began + max(config.linger_ms, config.grace_ms - LAST_REQUEST) / 1000.0
+        ):
             await self.listener.emptied()
         self.leaving = True
         self.listener.close()
@@ -256,8 +309,14 @@
         used = SPARE + len(self.listener.clients) + self.destinations.open
         mine = max(LEAST_SOCKETS, min(max(whole // 2, used), whole - LEAST_SOCKETS))
         self._bound(mine)
-        return {"ids": list(self._open), "lame": self.lame, "out": self.pool.out, "back": self.pool.back,
-                "list": self.pool.snapshot(), "sockets": whole - mine}
+        return {
+            "ids": list(self._open),
+            "lame": self.lame,
+            "out": self.pool.out,
+            "back": self.pool.back,
+            "list": self.pool.snapshot(),
+            "sockets": whole - mine,
+        }
 
     def _hear(self, message: dict[str, Any]) -> None:
         """Take what another run tells: all that it knows, or a change."""
@@ -342,8 +401,11 @@
             "/_profilers/detach": Call("PUT", self._detach, named=True),
             "/_profilers/attach": Call("PUT", self._attach, named=True),
             **{f"/_{hook.name}": Call("GET", partial(self._status, hook)) for hook in self.hooks},
-            **{f"/_{hook.name}/{call}": Call("PUT", partial(self._order, hook, call), named=True)
-               for hook in self.hooks for call in hook.calls},
+            **{
+                f"/_{hook.name}/{call}": Call("PUT", partial(self._order, hook, call), named=True)
+                for hook in self.hooks
+                for call in hook.calls
+            },
         }
 
     async def _status(self, hook: Hook) -> Reply:
@@ -363,10 +425,18 @@
         listed = self.pool.names
         if self.traced is not None:
             self.figures.add(self.traced.figures())
-        return Reply(200, self.figures.text({
-            "concurrent": self.decisions.pending, "targets": len(listed),
-            "targets_disabled": sum(not self.pool.may_send(name) or name in avoided for name in listed),
-        }).encode())
+        return Reply(
+            200,
+            self.figures.text(
+                {
+                    "concurrent": self.decisions.pending,
+                    "targets": len(listed),
+                    "targets_disabled": sum(
+                        not self.pool.may_send(name) or name in avoided for name in listed
+                    ),
+                }
+            ).encode(),
+        )
 
     async def _detach(self, name: str) -> Reply:
         if not self.pool.take_out(name):
@@ -442,8 +512,9 @@
                 raise BadRequest(503, "draining")
             now = self.decisions.now() - (trio.current_time() - request.arrived) * 1000.0
             operation = self.front.reader.operation(request, now)
-            if operation.id in self._open or \
-                    (self.handover is not None and self.handover.open_elsewhere(operation.id)):
+            if operation.id in self._open or (
+                self.handover is not None and self.handover.open_elsewhere(operation.id)
+            ):
                 # Still at a client or out at a destination: two of one id can't be told apart there.
                 raise BadRequest(409, "X-Request-ID is in use")
             if (turned_back := self.front.turned_back(request)) is not None:
@@ -461,12 +532,16 @@
                     if operation.trace is not None:
                         of_operation(operation.id, operation.trace.context.trace)
                     return await self.front.respond(
-                        client, operation,
+                        client,
+                        operation,
                         lambda: self._carry(operation, job_class),
-                        lambda: self._closing(client))
+                        lambda: self._closing(client),
+                    )
             finally:
                 client.operation = None
-                if not operation.closed:  # whatever befell this exchange, the module is not left with it
+                if (
+                    not operation.closed
+                ):  # whatever befell this exchange, the module is not left with it
                     self.decisions.left(operation)
                 self._free_id(operation.id)
                 if self.keeper is not None:
@@ -482,8 +557,14 @@
         if answer is not None:
             if self.traced is not None:
                 self.traced.answered(operation, answer)
-            self.figures.answered(job_class, SUCCESS if isinstance(answer, Served) else
-                                  OVERLOAD if isinstance(answer, BusyReply) else ERROR)
+            self.figures.answered(
+                job_class,
+                SUCCESS
+                if isinstance(answer, Served)
+                else OVERLOAD
+                if isinstance(answer, BusyReply)
+                else ERROR,
+            )
         return answer
 
     def _introduce(self, operation: Operation, request: Request, now: float) -> None:
@@ -516,7 +597,9 @@
             self.handover.tell({"shut": id})
 
     def _up(self) -> Reply:
-        if self.draining and not self.replaced:  # with an heir, the dispatcher is up, whoever is asked
+        if (
+            self.draining and not self.replaced
+        ):  # with an heir, the dispatcher is up, whoever is asked
             return Reply(503, b"draining\n")
         if self.lame:
             return Reply(503, b"drained by operators\n")
@@ -559,11 +642,17 @@
             await trio.sleep(AFTER_FAULT)
 
 
-def serve(config: Config, level: str = "INFO", load: Callable[[], Config] | None = None,
-          log_form: str = "plain") -> int:
+def serve(
+    config: Config,
+    level: str = "INFO",
+    load: Callable[[], Config] | None = None,
+    log_form: str = "plain",
+) -> int:
     """Run the service in the foreground; its log goes to standard error. SIGHUP reads anew with `load`."""
     with logging_to(sys.stderr, level, log_form):
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload must not end us
+        signal.signal(
+            signal.SIGHUP, signal.SIG_IGN
+        )  # one that comes before we can reload must not end us
         try:
             service_run(config, load)
         except OSError as error:
--- a/yewrill/store/__init__.py
+++ b/yewrill/store/__init__.py
@@ -25,5 +25,16 @@
 from yewrill.store.format import Batch
 from yewrill.store.store import Store
 
-__all__ = ["Batch", "Conflict", "DamagedValue", "Store", "StoreBusy", "StoreClosed", "StoreError",
-           "StoreFull", "StoreHeld", "StorePoisoned", "StoreReadOnly"]
+__all__ = [
+    "Batch",
+    "Conflict",
+    "DamagedValue",
+    "Store",
+    "StoreBusy",
+    "StoreClosed",
+    "StoreError",
+    "StoreFull",
+    "StoreHeld",
+    "StorePoisoned",
+    "StoreReadOnly",
+]
--- a/yewrill/store/commands.py
+++ b/yewrill/store/commands.py
@@ -109,11 +109,16 @@
 
 
 def _record(key: bytes, value: bytes, expires: int) -> dict[str, Any]:
-    return {"key": base64.b64encode(key).decode(), "value": base64.b64encode(value).decode(),
-            "expires": expires}
+    return {
+        "key": base64.b64encode(key).decode(),
+        "value": base64.b64encode(value).decode(),
+        "expires": expires,
+    }
 
 
-_as_hex = click.option("--hex", "hexadecimal", is_flag=True, help="The key or prefix is hexadecimal.")
+_as_hex = click.option(
+    "--hex", "hexadecimal", is_flag=True, help="The key or prefix is hexadecimal."
+)
 
 
 # ---------------------------------------------------------------------------------------------------- looking
@@ -154,9 +159,14 @@
     facts = [segment.facts(now) for segment in state.segments.values()]
     holder = read_file(files, LOCK).decode(errors="replace").strip() if LOCK in files.list() else ""
     return {
-        "format": fmt.FORMAT, "keys": len(state.index), "segments": len(facts),
-        "size": sum(f.size for f in facts), "live": sum(f.live for f in facts),
-        "garbage": sum(f.garbage for f in facts), "last_version": state.next_seq - 1, "holder": holder,
+        "format": fmt.FORMAT,
+        "keys": len(state.index),
+        "segments": len(facts),
+        "size": sum(f.size for f in facts),
+        "live": sum(f.live for f in facts),
+        "garbage": sum(f.garbage for f in facts),
+        "last_version": state.next_seq - 1,
+        "holder": holder,
         "later_format": state.foreign,
         "quarantine": [name for name in files.list() if name.startswith(QUARANTINE)],
         "findings": [finding.as_dict() for finding in state.findings],
@@ -176,7 +186,9 @@
     if found is None:
         sys.exit(1)
     if as_json:
-        click.echo(ujson.dumps({**_record(wanted, found.value, found.expires), "version": found.version}))
+        click.echo(
+            ujson.dumps({**_record(wanted, found.value, found.expires), "version": found.version})
+        )
     else:
         sys.stdout.buffer.write(found.value)
 
@@ -188,7 +200,9 @@
 @click.option("--keys", is_flag=True, help="Keys alone.")
 @_as_hex
 @_json
-def scan(directory: str, prefix: str, limit: int, keys: bool, hexadecimal: bool, as_json: bool) -> None:
+def scan(
+    directory: str, prefix: str, limit: int, keys: bool, hexadecimal: bool, as_json: bool
+) -> None:
     """List keys and values in the order of the keys."""
     with _opened(directory) as opened, opened.snapshot() as snapshot:
         for number, (key, found) in enumerate(snapshot.scan(prefix=_bytes(prefix, hexadecimal)), 1):
@@ -216,7 +230,9 @@
     sys.exit(1 if findings else 0)
 
 
-def check_all(files: Files, progress: Callable[[int], None] = lambda size: None) -> tuple[list[dict], int]:
+def check_all(
+    files: Files, progress: Callable[[int], None] = lambda size: None
+) -> tuple[list[dict], int]:
     """Everything that is wrong with a directory, hints and manifest included, and the bytes read."""
     findings: list[dict[str, Any]] = []
     read = 0
@@ -251,7 +267,12 @@
             if isinstance(found, Frame):
                 progress(found.end - found.offset)
             elif start or found.start:  # else the header, told above
-                tell("torn" if found.tail and found.explained else "damage", file, found.start, found.end)
+                tell(
+                    "torn" if found.tail and found.explained else "damage",
+                    file,
+                    found.start,
+                    found.end,
+                )
     if MANIFEST in present:
         try:
             named = fmt.decode_manifest(read_file(files, MANIFEST)).segments
@@ -350,10 +371,15 @@
         for number, line in enumerate(lines, 1):
             try:
                 raw = ujson.loads(line)
-                batch.put(base64.b64decode(raw["key"], validate=True),
-                          base64.b64decode(raw["value"], validate=True), int(raw.get("expires", 0)))
+                batch.put(
+                    base64.b64decode(raw["key"], validate=True),
+                    base64.b64decode(raw["value"], validate=True),
+                    int(raw.get("expires", 0)),
+                )
             except (ValueError, KeyError, TypeError, AttributeError) as error:
-                raise StoreError(f"line {number}: no record: {error!r}; {count} records loaded") from None
+                raise StoreError(
+                    f"line {number}: no record: {error!r}; {count} records loaded"
+                ) from None
             if len(batch.ops) >= LOAD_BATCH or batch.size > 2**23:
                 opened.write(batch)
                 count += len(batch.ops)
--- a/yewrill/store/engine.py
+++ b/yewrill/store/engine.py
@@ -80,8 +80,15 @@
 class Engine:
     """`salt` gives 32 random bits for each new segment; times are milliseconds of the caller's clock."""
 
-    def __init__(self, files: Files, *, salt: Callable[[], int], rules: policy.Rules | None = None,
-                 segment_size: int = 32 * 1024 * 1024, reserve: int = 0):
+    def __init__(
+        self,
+        files: Files,
+        *,
+        salt: Callable[[], int],
+        rules: policy.Rules | None = None,
+        segment_size: int = 32 * 1024 * 1024,
+        reserve: int = 0,
+    ):
         self.files = files
         self.rules = rules or policy.Rules()
         self.segment_size = segment_size
@@ -99,7 +106,9 @@
         self._next_segment, self._next_seq = state.next_segment, state.next_seq
         self.findings: list[Finding] = state.findings
         self.foreign = state.foreign
-        self._foreign_names = [name for file in state.foreign if (name := fmt.segment_name(file)) is not None]
+        self._foreign_names = [
+            name for file in state.foreign if (name := fmt.segment_name(file)) is not None
+        ]
         self.read_only = state.read_only
         self.poison: Exception | None = None
         self.short = False  # the room aside is in use, or could not be had
@@ -112,8 +121,10 @@
         self._lock = threading.RLock()
         self._switch = threading.RLock()
         self._committing = threading.RLock()
-        if any(finding.what in ("manifest", "adopted", "missing") for finding in self.findings) \
-                and not self.read_only:
+        if (
+            any(finding.what in ("manifest", "adopted", "missing") for finding in self.findings)
+            and not self.read_only
+        ):
             with suppress(OSError):  # if not now, then with the next write
                 self._write_manifest()
         self.restore_reserve()
@@ -124,7 +135,9 @@
     def last_seq(self) -> int:
         return self._next_seq - 1
 
-    def commit(self, batches: Sequence[fmt.Batch], now: int, sync: bool = True) -> list[int | StoreError]:
+    def commit(
+        self, batches: Sequence[fmt.Batch], now: int, sync: bool = True
+    ) -> list[int | StoreError]:
         """Write batches, each whole or not at all; for each the version of its first operation, or why
         not."""
         with self._committing:
@@ -173,7 +186,9 @@
             found = pending.get(key)
             if found is None:
                 entry = self._index.get(key)
-                _, _, _, seq, expires = ENTRY.unpack(entry) if entry is not None else (0, 0, 0, 0, 0)
+                _, _, _, seq, expires = (
+                    ENTRY.unpack(entry) if entry is not None else (0, 0, 0, 0, 0)
+                )
                 found = 0 if _over(expires, now) else seq
             if found != expected:
                 return Conflict(key, expected, found)
@@ -272,7 +287,9 @@
         return self._active
 
     def _seal(self, segment: Segment) -> None:
-        with suppress(StorePoisoned):  # told at the next write; this one was acknowledged in its own mode
+        with suppress(
+            StorePoisoned
+        ):  # told at the next write; this one was acknowledged in its own mode
             self.sync()
         self._active = None
 
@@ -280,7 +297,9 @@
         with self._switch:
             names = [s.name for s in (self._segments.values() if segments is None else segments)]
             names += self._foreign_names
-            data = fmt.encode_manifest(fmt.Manifest(tuple(sorted(names)), self._next_segment, self._next_seq))
+            data = fmt.encode_manifest(
+                fmt.Manifest(tuple(sorted(names)), self._next_segment, self._next_seq)
+            )
             try:
                 write_file(self.files, MANIFEST + NEW, data)
             except OSError as error:
@@ -322,7 +341,9 @@
         segment.live -= size
         if expires:
             segment.note_expiry(expires, -size)
-        if self._snapshots and any(seq <= snapshot.seq < until for snapshot in self._snapshots.values()):
+        if self._snapshots and any(
+            seq <= snapshot.seq < until for snapshot in self._snapshots.values()
+        ):
             self._history.setdefault(key, []).append(_Old(until, entry, segment))
 
     # ----------------------------------------------------------------------------------------------- reading
@@ -347,8 +368,17 @@
         data = segment.handle.read(fmt.OP_HEAD + len(key) + size, offset)
         value = fmt.read_value(data, key, segment.name.salt)
         if value is None:
-            self._damaged(segment, Finding("damage", segment.name.file, offset,
-                                           offset + fmt.op_size(key, size), 1, "met by a reader"))
+            self._damaged(
+                segment,
+                Finding(
+                    "damage",
+                    segment.name.file,
+                    offset,
+                    offset + fmt.op_size(key, size),
+                    1,
+                    "met by a reader",
+                ),
+            )
             raise DamagedValue(key, segment.name.file, offset)
         return value
 
@@ -357,14 +387,23 @@
         if finding not in self.findings and len(self.findings) < MOST_FINDINGS:
             self.findings.append(finding)
 
-    def scan(self, now: int, *, prefix: bytes = b"", start: bytes = b"", stop: bytes | None = None,
-             reverse: bool = False) -> Iterator[tuple[bytes, Found]]:
+    def scan(
+        self,
+        now: int,
+        *,
+        prefix: bytes = b"",
+        start: bytes = b"",
+        stop: bytes | None = None,
+        reverse: bool = False,
+    ) -> Iterator[tuple[bytes, Found]]:
         """Keys from `start` up to, and without, `stop` that have this prefix, in order, with what they have.
         Without a snapshot, each part is as it is when the iteration gets there."""
         for key, value, seq, expires in self.rows(now, prefix, start, stop, reverse):
             yield key, Found(value, seq, expires)
 
-    def rows(self, now: int, prefix: bytes, start: bytes, stop: bytes | None, reverse: bool) -> Iterator[Row]:
+    def rows(
+        self, now: int, prefix: bytes, start: bytes, stop: bytes | None, reverse: bool
+    ) -> Iterator[Row]:
         """As `scan`, with plain tuples."""
         low, high = _bounds(prefix, start, stop)
         index, segments = self._index, self._segments
@@ -382,8 +421,7 @@
             else:
                 low = chunk[-1][0] + b"\0"
 
-    def _read_chunk(self, entries: list[tuple[bytes, Segment, bytes]], now: int) \
-            -> Iterator[Row]:
+    def _read_chunk(self, entries: list[tuple[bytes, Segment, bytes]], now: int) -> Iterator[Row]:
         """Read values, ahead while they lie one behind the other."""
         unpack, head, extend, crc_of = ENTRY.unpack, fmt.OP_HEAD, fmt.extend, fmt.op_crc
         window, base, owner, after = b"", 0, None, -1
@@ -398,11 +436,14 @@
                 window = segment.handle.read(max(whole, READ_AHEAD if near else whole), offset)
                 base, owner, at = offset, segment, 0
             after = offset + whole
-            content = window[at + head:at + whole]  # the key, and the value
-            if len(content) != whole - head or crc_of(window, at) != extend(segment.salt, content) \
-                    or not content.startswith(key):
+            content = window[at + head : at + whole]  # the key, and the value
+            if (
+                len(content) != whole - head
+                or crc_of(window, at) != extend(segment.salt, content)
+                or not content.startswith(key)
+            ):
                 self._read(segment, key, offset, size)  # told, and raised, there
-            yield key, content[len(key):], seq, expires
+            yield key, content[len(key) :], seq, expires
 
     def snapshot(self, now: int) -> Snapshot:
         """The store as it is at this moment, for as long as the snapshot is open."""
@@ -421,8 +462,11 @@
                 return
             held = [other.seq for other in self._snapshots.values()]
             for key, olds in list(self._history.items()):
-                olds[:] = [old for old in olds
-                           if any(ENTRY.unpack(old.entry)[3] <= seq < old.until for seq in held)]
+                olds[:] = [
+                    old
+                    for old in olds
+                    if any(ENTRY.unpack(old.entry)[3] <= seq < old.until for seq in held)
+                ]
                 if not olds:
                     del self._history[key]
 
@@ -502,8 +546,9 @@
             self._next_segment += 1
             return self._next_segment - 1
 
-    def _write_output(self, name: fmt.SegmentName, inputs: list[Segment], now: int) \
-            -> Generator[int, None, tuple[Segment | None, bytes]]:
+    def _write_output(
+        self, name: fmt.SegmentName, inputs: list[Segment], now: int
+    ) -> Generator[int, None, tuple[Segment | None, bytes]]:
         """The output under its `.new` name and its hint's bytes; None if nothing lives."""
         with self._lock:
             others = [s.lowest for s in self._segments.values() if s not in inputs]
@@ -572,8 +617,10 @@
     def _met(self, segment: Segment, gap: Gap) -> None:
         with suppress(OSError):
             quarantine(self.files, segment, gap.start, gap.end)
-        self._damaged(segment, Finding("damage", segment.name.file, gap.start, gap.end,
-                                       note="met by compaction"))
+        self._damaged(
+            segment,
+            Finding("damage", segment.name.file, gap.start, gap.end, note="met by compaction"),
+        )
 
     def _kept(self, source: Segment, op: fmt.Op, others: list[int], now: int) -> fmt.Op | None:
         """What the output gets of an operation."""
@@ -610,7 +657,9 @@
                     if seq != op.seq or slot == output.slot:
                         continue
                     size = fmt.op_size(op.key, value_size)
-                    self._index[op.key] = ENTRY.pack(output.slot, op.offset, value_size, seq, expires)
+                    self._index[op.key] = ENTRY.pack(
+                        output.slot, op.offset, value_size, seq, expires
+                    )
                     self._segments[slot].live -= size
                     output.live += size
                     if expires:
@@ -621,16 +670,26 @@
     def _retire(self, inputs: list[Segment]) -> None:
         with self._lock:
             lost = []
-            if any(segment.live > 0 for segment in inputs):  # entries that no whole frame answers for
+            if any(
+                segment.live > 0 for segment in inputs
+            ):  # entries that no whole frame answers for
                 slots = {segment.slot for segment in inputs}
-                lost = [key for key, entry in self._index.items() if ENTRY.unpack(entry)[0] in slots]
+                lost = [
+                    key for key, entry in self._index.items() if ENTRY.unpack(entry)[0] in slots
+                ]
                 for key in lost:
                     del self._index[key]
             for segment in inputs:
                 del self._segments[segment.slot]
         if lost:
-            self.findings.append(Finding("damage", inputs[0].name.file, records=len(lost),
-                                         note="values that could not be read are gone from the index"))
+            self.findings.append(
+                Finding(
+                    "damage",
+                    inputs[0].name.file,
+                    records=len(lost),
+                    note="values that could not be read are gone from the index",
+                )
+            )
         for segment in inputs:
             for file in (segment.name.file, segment.name.hint):
                 with suppress(OSError):  # left over: the next opening sees to it
@@ -650,7 +709,9 @@
             if isinstance(found, Gap):
                 self._met(segment, found)
                 return
-            rows = [(op.kind, op.key, len(op.value), op.offset, op.seq, op.expires) for op in found.ops]
+            rows = [
+                (op.kind, op.key, len(op.value), op.offset, op.seq, op.expires) for op in found.ops
+            ]
             parts.append(writer.add(fmt.hint_entries(rows), len(rows)))
             yield found.end - found.offset
         parts.append(writer.end())
@@ -712,9 +773,12 @@
         if target.list():
             raise StoreError("backup: the target is not empty")
         with self._switch, self._lock:
-            parts = [(segment.name, segment.handle, segment.size) for segment in self._segments.values()]
-            manifest = fmt.Manifest(tuple(sorted(name for name, _, _ in parts)), self._next_segment,
-                                    self._next_seq)
+            parts = [
+                (segment.name, segment.handle, segment.size) for segment in self._segments.values()
+            ]
+            manifest = fmt.Manifest(
+                tuple(sorted(name for name, _, _ in parts)), self._next_segment, self._next_seq
+            )
         for name, handle, size in parts:
             copy = target.open(name.file, write=True, create=True)
             for at in range(0, size, 1 << 20):
@@ -731,11 +795,19 @@
             segments = [segment.facts(now) for segment in self._segments.values()]
             keys = len(self._index)
         return {
-            "format": fmt.FORMAT, "keys": keys, "segments": len(segments),
-            "size": sum(s.size for s in segments), "live": sum(s.live for s in segments),
-            "garbage": sum(s.garbage for s in segments), "last_version": self.last_seq,
-            "snapshots": len(self._snapshots), "syncs": self.syncs, "written": self.written,
-            "compactions": self.compactions, "short": self.short, "read_only": self.read_only,
+            "format": fmt.FORMAT,
+            "keys": keys,
+            "segments": len(segments),
+            "size": sum(s.size for s in segments),
+            "live": sum(s.live for s in segments),
+            "garbage": sum(s.garbage for s in segments),
+            "last_version": self.last_seq,
+            "snapshots": len(self._snapshots),
+            "syncs": self.syncs,
+            "written": self.written,
+            "compactions": self.compactions,
+            "short": self.short,
+            "read_only": self.read_only,
             "poisoned": str(self.poison) if self.poison is not None else "",
             "later_format": list(self.foreign),
             "quarantine": [name for name in self.files.list() if name.startswith("quarantine/")],
@@ -773,8 +845,14 @@
             return None
         return Found(self._engine._read(segment, key, offset, size), seq, expires)
 
-    def scan(self, *, prefix: bytes = b"", start: bytes = b"", stop: bytes | None = None,
-             reverse: bool = False) -> Iterator[tuple[bytes, Found]]:
+    def scan(
+        self,
+        *,
+        prefix: bytes = b"",
+        start: bytes = b"",
+        stop: bytes | None = None,
+        reverse: bool = False,
+    ) -> Iterator[tuple[bytes, Found]]:
         """As the engine's, all of one moment."""
         engine = self._engine
         low, high = _bounds(prefix, start, stop)
--- a/yewrill/store/files.py
+++ b/yewrill/store/files.py
@@ -98,7 +98,9 @@
 
     def read(self, size: int, offset: int) -> bytes:
         data = os.pread(self._fd, size, offset)
-        while len(data) < size and (more := os.pread(self._fd, size - len(data), offset + len(data))):
+        while len(data) < size and (
+            more := os.pread(self._fd, size - len(data), offset + len(data))
+        ):
             data += more
         return data
 
@@ -139,7 +141,9 @@
         path = self.path / name
         if create and name.startswith(QUARANTINE):
             path.parent.mkdir(mode=0o700, exist_ok=True)
-        return RealHandle(path, (os.O_RDWR if write else os.O_RDONLY) | (os.O_CREAT if create else 0))
+        return RealHandle(
+            path, (os.O_RDWR if write else os.O_RDONLY) | (os.O_CREAT if create else 0)
+        )
 
     def rename(self, old: str, new: str) -> None:
         if new.startswith(QUARANTINE):
@@ -191,7 +195,9 @@
         with suppress(OSError):  # who holds it is a kindness; that it is held is not
             os.ftruncate(fd, 0)
             since = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
-            os.pwrite(fd, f"process {os.getpid()} on {socket.gethostname()} since {since}\n".encode(), 0)
+            os.pwrite(
+                fd, f"process {os.getpid()} on {socket.gethostname()} since {since}\n".encode(), 0
+            )
 
     def unlock(self) -> None:
         if self._lock >= 0:
--- a/yewrill/store/format.py
+++ b/yewrill/store/format.py
@@ -91,7 +91,7 @@
         """Set a key. `expires` is when it ends, in ms of the store's clock (0: never)."""
         if len(value) > MOST_VALUE:
             raise StoreError(f"value: {len(value)} bytes, at most {MOST_VALUE}")
-        if not -2**63 <= expires < 2**63:
+        if not -(2**63) <= expires < 2**63:
             raise StoreError(f"expires: {expires} is no time in milliseconds")
         return self._add(Op(PUT, _key(key), bytes(value), 0, int(expires)))
 
@@ -165,7 +165,9 @@
     magic, form, _, salt, number, count = _SEGMENT.unpack_from(data)
     end = header_size(count) - _CRC.size
     whole = len(data) >= end + _CRC.size and _CRC.unpack_from(data, end)[0] == crc32c(data[:end])
-    if magic == SEGMENT_MAGIC and form > FORMAT and whole:  # no later format may change the header's layout
+    if (
+        magic == SEGMENT_MAGIC and form > FORMAT and whole
+    ):  # no later format may change the header's layout
         raise LaterFormat(f"format {form}")
     if not whole or magic != SEGMENT_MAGIC or (number, salt) != (name.number, name.salt):
         raise Malformed("header damaged")
@@ -178,8 +180,9 @@
     for at, op in enumerate(ops, first or 0):
         content = op.key + op.value
         seq = op.seq if first is None else at
-        parts.append(_OP.pack(op.kind, 0, len(op.key), len(op.value), seq, op.expires,
-                              extend(salt, content)))
+        parts.append(
+            _OP.pack(op.kind, 0, len(op.key), len(op.value), seq, op.expires, extend(salt, content))
+        )
         parts.append(content)
     body = b"".join(parts)
     head = _FRAME.pack(FRAME_MAGIC, len(body), time, extend(salt, body))
@@ -194,7 +197,7 @@
 
 def decode_head(data: bytes, at: int, salt: int) -> Head | None:
     """A frame's head, if it can be believed."""
-    if at + FRAME_HEAD > len(data) or data[at:at + 4] != FRAME_MAGIC:
+    if at + FRAME_HEAD > len(data) or data[at : at + 4] != FRAME_MAGIC:
         return None
     end = at + _FRAME.size
     if _CRC.unpack_from(data, end)[0] != extend(salt, data[at:end]):
@@ -215,7 +218,9 @@
             end = value_at + value_size
             if end > len(body) or kind not in (PUT, DELETE) or not key_size:
                 raise Malformed("operation out of bounds")
-            ops.append(Op(kind, body[at + OP_HEAD:value_at], body[value_at:end], seq, expires, base + at))
+            ops.append(
+                Op(kind, body[at + OP_HEAD : value_at], body[value_at:end], seq, expires, base + at)
+            )
             at = end
     except struct.error:
         raise Malformed("operation cut short") from None
@@ -227,10 +232,15 @@
     if len(data) < OP_HEAD:
         return None
     kind, _, key_size, value_size, _, _, crc = _OP.unpack_from(data)
-    if kind != PUT or len(data) != OP_HEAD + key_size + value_size or key_size != len(key) \
-            or extend(salt, data[OP_HEAD:]) != crc or not data.startswith(key, OP_HEAD):
+    if (
+        kind != PUT
+        or len(data) != OP_HEAD + key_size + value_size
+        or key_size != len(key)
+        or extend(salt, data[OP_HEAD:]) != crc
+        or not data.startswith(key, OP_HEAD)
+    ):
         return None
-    return data[OP_HEAD + key_size:]
+    return data[OP_HEAD + key_size :]
 
 
 def op_crc(data: bytes, at: int) -> int:
@@ -277,7 +287,9 @@
     """The entries of a hint file that belongs to a segment of this size. Raises Malformed before the
     first."""
     end = len(data) - _HINT_END.size
-    if end < _HINT.size or _CRC.unpack_from(data, len(data) - _CRC.size)[0] != crc32c(data[:-_CRC.size]):
+    if end < _HINT.size or _CRC.unpack_from(data, len(data) - _CRC.size)[0] != crc32c(
+        data[: -_CRC.size]
+    ):
         raise Malformed("hint damaged")
     magic, form, _, _, size = _HINT.unpack_from(data)
     if magic != HINT_MAGIC or form != FORMAT or size != segment_size:
@@ -290,7 +302,7 @@
     while at < end:
         kind, _, key_size, value_size, offset, seq, expires = unpack(data, at)
         at += size
-        yield kind, data[at:at + key_size], value_size, offset, seq, expires
+        yield kind, data[at : at + key_size], value_size, offset, seq, expires
         at += key_size
 
 
@@ -307,8 +319,13 @@
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
-    text = json.dumps({"segments": [name.file for name in manifest.segments],
-                       "next_segment": manifest.next_segment, "next_seq": manifest.next_seq}).encode()
+    text = json.dumps(
+        {
+            "segments": [name.file for name in manifest.segments],
+            "next_segment": manifest.next_segment,
+            "next_seq": manifest.next_seq,
+        }
+    ).encode()
     data = _MANIFEST.pack(MANIFEST_MAGIC, FORMAT, 0, len(text)) + text
     return data + _CRC.pack(crc32c(data))
 
@@ -318,14 +335,15 @@
     if len(data) < _MANIFEST.size + _CRC.size:
         raise Malformed("manifest cut short")
     magic, form, _, length = _MANIFEST.unpack_from(data)
-    whole = len(data) == _MANIFEST.size + length + _CRC.size and \
-        _CRC.unpack_from(data, len(data) - _CRC.size)[0] == crc32c(data[:-_CRC.size])
+    whole = len(data) == _MANIFEST.size + length + _CRC.size and _CRC.unpack_from(
+        data, len(data) - _CRC.size
+    )[0] == crc32c(data[: -_CRC.size])
     if magic == MANIFEST_MAGIC and form > FORMAT and whole:
         raise LaterFormat(f"format {form}")
     if not whole or magic != MANIFEST_MAGIC or form != FORMAT:
         raise Malformed("manifest damaged")
     try:
-        raw = json.loads(data[_MANIFEST.size:-_CRC.size])
+        raw = json.loads(data[_MANIFEST.size : -_CRC.size])
         names = [segment_name(file) for file in raw["segments"]]
         if None in names:
             raise Malformed("manifest names what is no segment")
--- a/yewrill/store/policy.py
+++ b/yewrill/store/policy.py
@@ -59,8 +59,11 @@
     if room is not None:
         wasteful = [s for s in segments if s.garbage > 0]
     else:
-        wasteful = [s for s in segments
-                    if s.garbage >= rules.least_garbage and s.garbage >= rules.garbage_share * s.size]
+        wasteful = [
+            s
+            for s in segments
+            if s.garbage >= rules.least_garbage and s.garbage >= rules.garbage_share * s.size
+        ]
     wasteful.sort(key=lambda s: (_kept(s) / max(1, s.garbage), s.number))
     if chosen := _fill(wasteful, most):
         return chosen
@@ -81,8 +84,9 @@
     """What an operator's "compact now" takes: all, as far as one output goes, the worst first."""
     worst = sorted(segments, key=lambda s: (-s.garbage / max(1, s.size), s.number))
     chosen = _fill(worst, rules.most_output)
-    lone = len(chosen) == 1 and not any(s.garbage or s.deletions or s.damaged
-                                        for s in segments if s.number in chosen)
+    lone = len(chosen) == 1 and not any(
+        s.garbage or s.deletions or s.damaged for s in segments if s.number in chosen
+    )
     return [] if lone else chosen
 
 
--- a/yewrill/store/recovery.py
+++ b/yewrill/store/recovery.py
@@ -37,7 +37,9 @@
 class Finding:
     """Something that an opening, a verification or a compaction met and did not expect."""
 
-    what: str  # damage, torn, header, manifest, leftover, adopted, missing, later-format, unwritable
+    what: (
+        str  # damage, torn, header, manifest, leftover, adopted, missing, later-format, unwritable
+    )
     file: str
     start: int = 0
     end: int = 0
@@ -50,8 +52,14 @@
         return f"{self.what} file={self.file}{span}{lost}{' ' + self.note if self.note else ''}"
 
     def as_dict(self) -> dict:
-        return {"what": self.what, "file": self.file, "start": self.start, "end": self.end,
-                "records": self.records, "note": self.note}
+        return {
+            "what": self.what,
+            "file": self.file,
+            "start": self.start,
+            "end": self.end,
+            "records": self.records,
+            "note": self.note,
+        }
 
 
 @dataclass(slots=True)
@@ -96,7 +104,7 @@
         nonlocal window, base
         if not base <= at or at + count > base + len(window):
             window, base = handle.read(min(max(count, CHUNK), size - at), at), at
-        return window[at - base:at - base + count]
+        return window[at - base : at - base + count]
 
     at = start
     while at < size:
@@ -111,12 +119,19 @@
             continue
         found = _next_frame(take, at + 1, size, salt) if frame is None else size
         rest = take(at, min(size - at, CHUNK)) if found >= size else b""
-        yield Gap(at, found, tail=found >= size, explained=found >= size and (
-            frame is not None or size - at < fmt.FRAME_HEAD or not any(rest)))
+        yield Gap(
+            at,
+            found,
+            tail=found >= size,
+            explained=found >= size
+            and (frame is not None or size - at < fmt.FRAME_HEAD or not any(rest)),
+        )
         at = found
 
 
-def _frame_at(take: Callable[[int, int], bytes], at: int, size: int, salt: int) -> Frame | int | str | None:
+def _frame_at(
+    take: Callable[[int, int], bytes], at: int, size: int, salt: int
+) -> Frame | int | str | None:
     """The frame; where the next one begins if only the body is bad; "short" if the body never was
     whole; None if nothing can be said."""
     head = fmt.decode_head(take(at, min(fmt.FRAME_HEAD, size - at)), 0, salt)
@@ -170,7 +185,11 @@
         except FileNotFoundError:
             return True
         except OSError as error:
-            self.read_only = self.read_only or error.errno in (errno.EROFS, errno.EACCES, errno.EPERM)
+            self.read_only = self.read_only or error.errno in (
+                errno.EROFS,
+                errno.EACCES,
+                errno.EPERM,
+            )
             self.tell("unwritable", what, note=f"{error.strerror or error}")
             return False
 
@@ -205,13 +224,20 @@
             opening.try_write(lambda file=file: files.remove(file), file)
     numbers += [name.number for name in manifest.segments] if manifest else []
     index = _index(opening.table, segments)
-    return State(index, segments, max(max(numbers) + 1, manifest.next_segment if manifest else 1),
-                 max(opening.highest + 1, manifest.next_seq if manifest else 1), opening.findings, foreign,
-                 opening.read_only)
-
-
-def _headers(opening: _Opening, names: dict[int, fmt.SegmentName]) \
-        -> tuple[dict[int, tuple[tuple[int, ...], int]], list[str]]:
+    return State(
+        index,
+        segments,
+        max(max(numbers) + 1, manifest.next_segment if manifest else 1),
+        max(opening.highest + 1, manifest.next_seq if manifest else 1),
+        opening.findings,
+        foreign,
+        opening.read_only,
+    )
+
+
+def _headers(
+    opening: _Opening, names: dict[int, fmt.SegmentName]
+) -> tuple[dict[int, tuple[tuple[int, ...], int]], list[str]]:
     """Each segment's header: what it replaces and where its frames begin. Later formats leave `names`."""
     headers, foreign = {}, []
     for number, name in list(names.items()):
@@ -238,14 +264,19 @@
     except (fmt.Malformed, fmt.LaterFormat) as error:
         opening.tell("manifest", MANIFEST, note=f"{error}: made up from the segments")
     if mend:
-        aside = next(name for i in range(10**6)
-                     if (name := f"{QUARANTINE}{MANIFEST}.{i}") not in present)
+        aside = next(
+            name for i in range(10**6) if (name := f"{QUARANTINE}{MANIFEST}.{i}") not in present
+        )
         opening.try_write(lambda: opening.files.rename(MANIFEST, aside), MANIFEST)
     return None
 
 
-def _in_force(opening: _Opening, manifest: fmt.Manifest | None, names: dict[int, fmt.SegmentName],
-              headers: dict[int, tuple[tuple[int, ...], int]]) -> tuple[list[fmt.SegmentName], list[str]]:
+def _in_force(
+    opening: _Opening,
+    manifest: fmt.Manifest | None,
+    names: dict[int, fmt.SegmentName],
+    headers: dict[int, tuple[tuple[int, ...], int]],
+) -> tuple[list[fmt.SegmentName], list[str]]:
     """The segments to serve, oldest first, and the files of those that are not in force any more, or not
     yet."""
     replaced: set[int] = set()
@@ -256,8 +287,9 @@
     else:
         listed = {name.number for name in manifest.segments}
         for name in manifest.segments:
-            if name.number not in names and name.file not in (f.file for f in opening.findings
-                                                               if f.what == "later-format"):
+            if name.number not in names and name.file not in (
+                f.file for f in opening.findings if f.what == "later-format"
+            ):
                 opening.tell("missing", name.file, note="named in the manifest")
         chosen = listed & names.keys()
         for number in chosen:
@@ -266,7 +298,9 @@
             output_of = set(headers.get(number, ((), 0))[0])
             if number in replaced or output_of & listed:
                 continue
-            if number < manifest.next_segment:  # whoever wrote the manifest knew it, and left it out
+            if (
+                number < manifest.next_segment
+            ):  # whoever wrote the manifest knew it, and left it out
                 continue
             if _empty(opening, names[number], headers.get(number)):
                 continue
@@ -278,11 +312,15 @@
     return [names[number] for number in sorted(chosen)], leftovers
 
 
-def _empty(opening: _Opening, name: fmt.SegmentName, header: tuple[tuple[int, ...], int] | None) -> bool:
+def _empty(
+    opening: _Opening, name: fmt.SegmentName, header: tuple[tuple[int, ...], int] | None
+) -> bool:
     handle = opening.files.open(name.file)
     size = handle.size()
     start = header[1] if header else 0
-    return not any(isinstance(found, Frame) for found in read_frames(handle, start, size, name.salt))
+    return not any(
+        isinstance(found, Frame) for found in read_frames(handle, start, size, name.salt)
+    )
 
 
 def _first_frame(segment: Segment) -> int:
@@ -329,10 +367,12 @@
         _set_aside(opening, segment, gap, None, mend)
     if cut:
         if mend:
+
             def shorten() -> None:
                 handle = opening.files.open(segment.name.file, write=True)
                 handle.truncate(cut)
                 handle.sync()
+
             opening.try_write(shorten, segment.name.file)
         segment.size = cut
 
@@ -344,11 +384,15 @@
     return max(0, frame.ops[0].seq - last - 1)
 
 
-def _set_aside(opening: _Opening, segment: Segment, gap: Gap, records: int | None, mend: bool) -> None:
+def _set_aside(
+    opening: _Opening, segment: Segment, gap: Gap, records: int | None, mend: bool
+) -> None:
     segment.damaged = segment.damaged or not gap.tail
     opening.tell("damage", segment.name.file, gap.start, gap.end, records)
     if mend:
-        opening.try_write(lambda: quarantine(opening.files, segment, gap.start, gap.end), segment.name.file)
+        opening.try_write(
+            lambda: quarantine(opening.files, segment, gap.start, gap.end), segment.name.file
+        )
 
 
 def quarantine(files: Files, segment: Segment, start: int, end: int) -> None:
--- a/yewrill/store/segment.py
+++ b/yewrill/store/segment.py
@@ -19,8 +19,21 @@
 class Segment:
     """One file of frames. Only the newest is written to; a segment's file closes with its last reader."""
 
-    __slots__ = ("name", "salt", "handle", "slot", "size", "start", "live", "deletions", "lowest", "damaged",
-                 "hinted", "output", "expiring")
+    __slots__ = (
+        "name",
+        "salt",
+        "handle",
+        "slot",
+        "size",
+        "start",
+        "live",
+        "deletions",
+        "lowest",
+        "damaged",
+        "hinted",
+        "output",
+        "expiring",
+    )
 
     def __init__(self, name: SegmentName, handle: Handle, slot: int):
         self.name = name
@@ -46,6 +59,9 @@
             del self.expiring[bucket]
 
     def facts(self, now: int) -> SegmentFacts:
-        expired = sum(size for bucket, size in self.expiring.items() if (bucket + 1) * BUCKET <= now)
-        return SegmentFacts(self.name.number, self.size, max(0, self.live - expired), self.deletions,
-                            self.damaged)
+        expired = sum(
+            size for bucket, size in self.expiring.items() if (bucket + 1) * BUCKET <= now
+        )
+        return SegmentFacts(
+            self.name.number, self.size, max(0, self.live - expired), self.deletions, self.damaged
+        )
--- a/yewrill/store/simdisk.py
+++ b/yewrill/store/simdisk.py
@@ -53,12 +53,15 @@
                 if rng.random() < 0.5:
                     pieces = [(0, rng.randrange(len(data) + 1))]
                 else:
-                    pieces = [(at, min(at + SECTOR, len(data))) for at in range(0, len(data), SECTOR)
-                              if rng.random() < 0.5]
+                    pieces = [
+                        (at, min(at + SECTOR, len(data)))
+                        for at in range(0, len(data), SECTOR)
+                        if rng.random() < 0.5
+                    ]
             for start, end in pieces:
                 if end > start:
                     found.extend(bytes(max(0, offset + start - len(found))))
-                    found[offset + start:offset + end] = data[start:end]
+                    found[offset + start : offset + end] = data[start:end]
         return bytes(found)
 
 
@@ -68,22 +71,22 @@
 
     def read(self, size: int, offset: int) -> bytes:
         self._disk.call("read", self._name)
-        return bytes(self._node.data[offset:offset + size])
+        return bytes(self._node.data[offset : offset + size])
 
     def write(self, data: bytes, offset: int) -> int:
         data = bytes(data)
         if self._disk.call("write", self._name) == SHORT:
-            data = data[:max(1, len(data) // 2)]
+            data = data[: max(1, len(data) // 2)]
         node = self._node
         grown = max(0, offset + len(data) - len(node.data))
         if self._disk.room is not None:
             fits = max(0, self._disk.room - self._disk.used())
             if grown > fits:
-                data = data[:len(data) - grown + fits]
+                data = data[: len(data) - grown + fits]
                 if not data:
                     raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         node.data.extend(bytes(max(0, offset - len(node.data))))
-        node.data[offset:offset + len(data)] = data
+        node.data[offset : offset + len(data)] = data
         node.pending.append((offset, data))
         return len(data)
 
--- a/yewrill/store/store.py
+++ b/yewrill/store/store.py
@@ -88,10 +88,19 @@
 class Store:
     """Opens a directory and holds it until `close`. Every method may be called from any thread."""
 
-    def __init__(self, path: str | Path | Files, *, mode: str = "always", interval: float = 1.0,
-                 clock: Callable[[], int] = wall_clock, segment_size: int = 32 * 1024 * 1024,
-                 reserve: int = 8 * 1024 * 1024, compaction_rate: float = 16 * 1024 * 1024,
-                 rules: policy.Rules | None = None, maintain: bool = True):
+    def __init__(
+        self,
+        path: str | Path | Files,
+        *,
+        mode: str = "always",
+        interval: float = 1.0,
+        clock: Callable[[], int] = wall_clock,
+        segment_size: int = 32 * 1024 * 1024,
+        reserve: int = 8 * 1024 * 1024,
+        compaction_rate: float = 16 * 1024 * 1024,
+        rules: policy.Rules | None = None,
+        maintain: bool = True,
+    ):
         """`interval` in seconds; sizes in bytes, `compaction_rate` in bytes a second (0: unbounded).
         Raises StoreHeld if another process has the directory, OSError if there can be none."""
         if mode not in MODES:
@@ -101,8 +110,13 @@
         self._interval = interval
         self._rate = compaction_rate
         files = RealFiles(path) if isinstance(path, (str, Path)) else path
-        self.engine = Engine(files, salt=lambda: random.SystemRandom().getrandbits(32), rules=rules,
-                             segment_size=segment_size, reserve=reserve)
+        self.engine = Engine(
+            files,
+            salt=lambda: random.SystemRandom().getrandbits(32),
+            rules=rules,
+            segment_size=segment_size,
+            reserve=reserve,
+        )
         for finding in self.engine.findings:
             log.warning("store-finding %s", finding)
         self._waiting: deque[tuple[Batch, Done]] = deque()
@@ -114,10 +128,13 @@
         self._stop = threading.Event()
         self._look = threading.Event()
         self._maintaining = threading.Lock()  # one compaction at a time
-        self._threads = [threading.Thread(target=self._commit_loop, name="store-commit", daemon=True)]
+        self._threads = [
+            threading.Thread(target=self._commit_loop, name="store-commit", daemon=True)
+        ]
         if maintain:
             self._threads.append(
-                threading.Thread(target=self._maintain_loop, name="store-maintain", daemon=True))
+                threading.Thread(target=self._maintain_loop, name="store-maintain", daemon=True)
+            )
         for thread in self._threads:
             thread.start()
 
@@ -133,7 +150,8 @@
             if self._closing:
                 raise StoreClosed("the store is closed")
             if len(self._waiting) >= MOST_WAITING or (
-                    self._waiting and self._waiting_bytes + batch.size > MOST_WAITING_BYTES):
+                self._waiting and self._waiting_bytes + batch.size > MOST_WAITING_BYTES
+            ):
                 raise StoreBusy(f"{len(self._waiting)} batches wait already")
             self._waiting.append((batch, done))
             self._waiting_bytes += batch.size
@@ -192,8 +210,14 @@
         """A key's value with its version and expiry."""
         return self.engine.get(key, self.clock())
 
-    def scan(self, *, prefix: bytes = b"", start: bytes = b"", stop: bytes | None = None,
-             reverse: bool = False) -> Iterator[tuple[bytes, bytes]]:
+    def scan(
+        self,
+        *,
+        prefix: bytes = b"",
+        start: bytes = b"",
+        stop: bytes | None = None,
+        reverse: bool = False,
+    ) -> Iterator[tuple[bytes, bytes]]:
         """Keys and values in order; see `Engine.scan`."""
         for key, value, _, _ in self.engine.rows(self.clock(), prefix, start, stop, reverse):
             yield key, value
@@ -219,8 +243,9 @@
                     break
         return merged
 
-    def backup(self, target: str | Path | Files,
-               on_progress: Callable[[int], None] = lambda size: None) -> None:
+    def backup(
+        self, target: str | Path | Files, on_progress: Callable[[int], None] = lambda size: None
+    ) -> None:
         """Copy the store as it is at this moment into an empty directory. Raises StoreError, OSError."""
         files = RealFiles(target) if isinstance(target, (str, Path)) else target
         for size in self.engine.backup(files):
@@ -266,7 +291,9 @@
 
     def _sync_due(self) -> float | None:
         dirty = self.engine.dirty and self.engine.poison is None
-        return policy.sync_due(self.mode, dirty, self._dirty_since, time.monotonic(), self._interval)
+        return policy.sync_due(
+            self.mode, dirty, self._dirty_since, time.monotonic(), self._interval
+        )
 
     def _commit_waiting(self) -> None:
         with self._changed:
@@ -291,7 +318,9 @@
         clean, poisoned = not self.engine.dirty, self.engine.poison is not None
         segments = self.engine.sealed_count
         try:
-            results = self.engine.commit([batch for batch, _ in group], self.clock(), self.mode == "always")
+            results = self.engine.commit(
+                [batch for batch, _ in group], self.clock(), self.mode == "always"
+            )
         except Exception as error:  # a bug of ours: those who wait must hear of it
             log.exception("store-fault")
             results = [StoreError(f"internal fault: {error!r}")] * len(group)
@@ -304,7 +333,10 @@
             done(result)
             if type(done) is _TaskWaiter:
                 tasks.setdefault(done.token, []).append(done)
-        for token, waiters in tasks.items():  # one call into each loop, however many of its tasks wait
+        for (
+            token,
+            waiters,
+        ) in tasks.items():  # one call into each loop, however many of its tasks wait
             with suppress(trio.RunFinishedError):  # nobody waits there any more
                 token.run_sync_soon(_wake, waiters)
         if self.engine.sealed_count != segments or self.engine.short:
--- a/yewrill/trace.py
+++ b/yewrill/trace.py
@@ -151,12 +151,20 @@
         raise TraceError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
     trace.classes = {name: c for name, c in sorted(trace.classes.items()) if c.runs}
     if not trace.classes:
-        raise TraceError(f"{path}: no task that ran to its end, in {trace.rows} rows ({trace.bad} bad)")
+        raise TraceError(
+            f"{path}: no task that ran to its end, in {trace.rows} rows ({trace.bad} bad)"
+        )
     return trace
 
 
 def _take(
-    trace: Trace, rng: random.Random, name: str, start: float, run: float | None, slots: float, instances: int
+    trace: Trace,
+    rng: random.Random,
+    name: str,
+    start: float,
+    run: float | None,
+    slots: float,
+    instances: int,
 ) -> None:
     if start <= 0 and run is None:
         return  # it never started
--- a/yewrill/traced.py
+++ b/yewrill/traced.py
@@ -43,12 +43,23 @@
     def __init__(self, config: Config):
         assert config.tracing is not None
         self._config = config.tracing
-        rng = random.Random()  # of the system's own seed: two dispatchers must not make the same ids
-        self.tracer = Tracer(_bounds(self._config), clock=trio.current_time, wall=time.time, rng=rng)
-        resource = {"service.name": "yewrill", "service.version": __version__,
-                    "service.instance.id": config.name}
-        target = Target(url=self._config.collector, file=self._config.file, file_mb=self._config.file_mb,
-                        files=self._config.files)
+        rng = (
+            random.Random()
+        )  # of the system's own seed: two dispatchers must not make the same ids
+        self.tracer = Tracer(
+            _bounds(self._config), clock=trio.current_time, wall=time.time, rng=rng
+        )
+        resource = {
+            "service.name": "yewrill",
+            "service.version": __version__,
+            "service.instance.id": config.name,
+        }
+        target = Target(
+            url=self._config.collector,
+            file=self._config.file,
+            file_mb=self._config.file_mb,
+            files=self._config.files,
+        )
         self.exporter = Exporter(self.tracer, target, resource, __version__, rng=rng)
 
     def spool_in(self, store: StoreLike) -> None:
@@ -56,26 +67,45 @@
         first."""
         if self._config.spool_mb and self._config.collector:
             held, number = store.held_under(SPOOL)
-            self.exporter.spool = StoreSpool(store.keep, store.first, store.drop, prefix=SPOOL, held=held,
-                                             number=number, most=int(self._config.spool_mb * 2**20))
+            self.exporter.spool = StoreSpool(
+                store.keep,
+                store.first,
+                store.drop,
+                prefix=SPOOL,
+                held=held,
+                number=number,
+                most=int(self._config.spool_mb * 2**20),
+            )
             self.tracer.on_kept()
 
     def retune(self, config: TracingConfig) -> TracingConfig:
         """Take up the share and the bounds; the rest waits for a restart. What holds from now on."""
         self.tracer.retune(_bounds(config))
-        self._config = replace(self._config, share=config.share, queue=config.queue, honoured=config.honoured)
+        self._config = replace(
+            self._config, share=config.share, queue=config.queue, honoured=config.honoured
+        )
         return self._config
 
-    def begin(self, operation: Operation, request: Request, spec: JobClass, tenant: str, now: float) -> None:
+    def begin(
+        self, operation: Operation, request: Request, spec: JobClass, tenant: str, now: float
+    ) -> None:
         """`now`: the module's clock, in ms."""
         parents = request.each(b"traceparent")
         operation.trace = self.tracer.begin(
-            operation.id, spec.name, tenant, aim=spec.aim, stretch=spec.stretch,
-            deadline=operation.deadline - now, parent=parents[0] if len(parents) == 1 else None,
-            state=",".join(request.each(b"tracestate")), first_byte=request.arrived)
+            operation.id,
+            spec.name,
+            tenant,
+            aim=spec.aim,
+            stretch=spec.stretch,
+            deadline=operation.deadline - now,
+            parent=parents[0] if len(parents) == 1 else None,
+            state=",".join(request.each(b"tracestate")),
+            first_byte=request.arrived,
+        )
         if operation.ran_ago >= 0:
-            operation.trace.event(trio.current_time(), "repeat-of-earlier-run",
-                                  f"{operation.ran_ago:.0f} ms ago")
+            operation.trace.event(
+                trio.current_time(), "repeat-of-earlier-run", f"{operation.ran_ago:.0f} ms ago"
+            )
 
     def answered(self, operation: Operation, answer: Answer) -> None:
         if operation.trace is not None:
--- a/yewrill/tracing/breakdown.py
+++ b/yewrill/tracing/breakdown.py
@@ -58,4 +58,7 @@
     ordered = sorted(values)
     if not ordered:
         return [0.0] * len(at)
-    return [ordered[min(len(ordered) - 1, max(0, round(p / 100.0 * len(ordered) + 0.5) - 1))] for p in at]
+    return [
+        ordered[min(len(ordered) - 1, max(0, round(p / 100.0 * len(ordered) + 0.5) - 1))]
+        for p in at
+    ]
--- a/yewrill/tracing/commands.py
+++ b/yewrill/tracing/commands.py
@@ -30,8 +30,12 @@
         click.option("--class", "job_class", default="", help="Only this class."),
         click.option("--tenant", default="", help="Only this tenant."),
         click.option("--destination", default="", help="Only jobs with an attempt there."),
-        click.option("--cause", default="", help="late, refused, failed, retried, left, sampled or asked."),
-        click.option("--since", default="", help="A time such as 30m (ago) or 2026-07-01T12:00+02:00."),
+        click.option(
+            "--cause", default="", help="late, refused, failed, retried, left, sampled or asked."
+        ),
+        click.option(
+            "--since", default="", help="A time such as 30m (ago) or 2026-07-01T12:00+02:00."
+        ),
         click.option("--until", default="", help="As --since."),
         click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False)),
     ):
@@ -44,13 +48,20 @@
     sys.exit(2)
 
 
-def _records(files: tuple[str, ...], since: str = "", until: str = "", **wanted: str) -> Iterator[Record]:
+def _records(
+    files: tuple[str, ...], since: str = "", until: str = "", **wanted: str
+) -> Iterator[Record]:
     try:
         now = time.time()
-        limits = {name: reading.time_of(text, now)
-                  for name, text in (("since", since), ("until", until)) if text}
+        limits = {
+            name: reading.time_of(text, now)
+            for name, text in (("since", since), ("until", until))
+            if text
+        }
         chosen = Filter(**wanted, **limits)
-        for record in reading.read(files, lambda bad: click.echo(f"yewrill trace: {bad}", err=True)):
+        for record in reading.read(
+            files, lambda bad: click.echo(f"yewrill trace: {bad}", err=True)
+        ):
             if chosen.passes(record):
                 yield record
     except (BadLine, OSError, ValueError) as error:
@@ -65,7 +76,9 @@
     """A line for each record."""
     count = 0
     for record in _records(**given):
-        click.echo(ujson.dumps(record, escape_forward_slashes=False) if as_json else reading.line(record))
+        click.echo(
+            ujson.dumps(record, escape_forward_slashes=False) if as_json else reading.line(record)
+        )
         count += 1
         if count == limit:
             break
@@ -74,8 +87,11 @@
 
 def _one(files: tuple[str, ...], wanted: str) -> list[Record]:
     """The records of an operation's id, or a trace's; the beginning of one will do."""
-    found = [record for record in _records(files)
-             if record["id"] == wanted or (len(wanted) >= 6 and record["trace"].startswith(wanted))]
+    found = [
+        record
+        for record in _records(files)
+        if record["id"] == wanted or (len(wanted) >= 6 and record["trace"].startswith(wanted))
+    ]
     if not found:
         click.echo(f"yewrill trace: {wanted}: not there; it may have been thinned", err=True)
         sys.exit(1)
@@ -107,7 +123,9 @@
 
 @trace.command()
 @_filters
-@click.option("--output", default="trace-report.html", show_default=True, type=click.Path(dir_okay=False))
+@click.option(
+    "--output", default="trace-report.html", show_default=True, type=click.Path(dir_okay=False)
+)
 def report(output: str, **given: Any) -> None:
     """Write one HTML page: bad jobs by class and cause, the breakdown by percentile, the worst twenty."""
     found = Report()
--- a/yewrill/tracing/context.py
+++ b/yewrill/tracing/context.py
@@ -88,7 +88,7 @@
     if context.randomness is not None:
         ours.append(f"rv:{context.randomness}")
     members = [f"{_OURS}={';'.join(ours)}"] if ours else []
-    for name, value in context.state[:MOST_MEMBERS - 1]:
+    for name, value in context.state[: MOST_MEMBERS - 1]:
         if sum(map(len, members)) + len(members) + len(name) + len(value) + 1 > MOST_STATE:
             break
         members.append(f"{name}={value}")
--- a/yewrill/tracing/export.py
+++ b/yewrill/tracing/export.py
@@ -65,7 +65,11 @@
     def __init__(self, target: Target):
         Path(target.file).parent.mkdir(parents=True, exist_ok=True)
         self._handler = logging.handlers.RotatingFileHandler(
-            target.file, maxBytes=int(target.file_mb * 2**20), backupCount=target.files, encoding="utf-8")
+            target.file,
+            maxBytes=int(target.file_mb * 2**20),
+            backupCount=target.files,
+            encoding="utf-8",
+        )
         self._handler.setFormatter(logging.Formatter("%(message)s"))
         self._handler.handleError = self._failed
         self.error: BaseException | None = None
@@ -115,11 +119,20 @@
             self._stream = await trio.open_tcp_stream(*self._address)
             self._parser = h11.Connection(h11.CLIENT)
         parser, stream = self._parser, self._stream
-        head = h11.Request(method="POST", target=self._path, headers=[
-            ("Host", f"{self._address[0]}:{self._address[1]}"), ("Content-Type", "application/x-protobuf"),
-            ("Content-Encoding", "gzip"), ("Content-Length", str(len(body))), *self._target.headers])
-        await stream.send_all(parser.send(head) + parser.send(h11.Data(data=body))
-                              + parser.send(h11.EndOfMessage()))
+        head = h11.Request(
+            method="POST",
+            target=self._path,
+            headers=[
+                ("Host", f"{self._address[0]}:{self._address[1]}"),
+                ("Content-Type", "application/x-protobuf"),
+                ("Content-Encoding", "gzip"),
+                ("Content-Length", str(len(body))),
+                *self._target.headers,
+            ],
+        )
+        await stream.send_all(
+            parser.send(head) + parser.send(h11.Data(data=body)) + parser.send(h11.EndOfMessage())
+        )
         status, asked, answer = retry.LOST, None, b""
         while True:
             event = parser.next_event()
@@ -160,8 +173,16 @@
 class Exporter:
     """`resource`: what all records have in common, after OpenTelemetry's conventions."""
 
-    def __init__(self, tracer: Tracer, target: Target, resource: Mapping[str, Any], version: str, *,
-                 spool: Spool | None = None, rng: random.Random | None = None):
+    def __init__(
+        self,
+        tracer: Tracer,
+        target: Target,
+        resource: Mapping[str, Any],
+        version: str,
+        *,
+        spool: Spool | None = None,
+        rng: random.Random | None = None,
+    ):
         self._tracer = tracer
         self._target = target
         self._resource = dict(resource)
@@ -190,7 +211,11 @@
 
     async def _step(self) -> bool:
         """Bring out what is oldest. Whether there may be more."""
-        if self._collector is not None and self.spool is not None and (kept := await self.spool.first()):
+        if (
+            self._collector is not None
+            and self.spool is not None
+            and (kept := await self.spool.first())
+        ):
             name, batch = kept
             records = await trio.to_thread.run_sync(_records, batch)
             if not await self._deliver(records, patient=False):
@@ -203,7 +228,9 @@
             return False
         self._unsent = records
         await self._write(records)
-        if self._collector is not None and not await self._deliver(records, patient=self.spool is None):
+        if self._collector is not None and not await self._deliver(
+            records, patient=self.spool is None
+        ):
             if self.spool is not None:
                 await self._spool(records)
                 self._unsent = []
@@ -225,7 +252,9 @@
         return False
 
     async def _spool(self, records: Sequence[Mapping[str, Any]]) -> None:
-        batch = await trio.to_thread.run_sync(lambda: gzip.compress("\n".join(text_of(records)).encode(), 1))
+        batch = await trio.to_thread.run_sync(
+            lambda: gzip.compress("\n".join(text_of(records)).encode(), 1)
+        )
         if await self.spool.put(batch):
             self.counts["spooled"] += len(records)
         else:
@@ -252,14 +281,17 @@
         """Whether the collector has them, or never will. Not `patient`: one try."""
         from yewrill.tracing import otlp  # protobuf is imported with the first batch
 
-        body = await trio.to_thread.run_sync(lambda: gzip.compress(
-            otlp.request(records, self._resource, self._version), 1))
+        body = await trio.to_thread.run_sync(
+            lambda: gzip.compress(otlp.request(records, self._resource, self._version), 1)
+        )
         tries = 0
         while True:
             tries += 1
             status, asked, answer = await self._collector.post(body)
             rejected = otlp.rejected(answer) if 200 <= status < 300 else 0
-            step = retry.decide(status, tries, asked, rejected, self._target.rules, self._rng.random)
+            step = retry.decide(
+                status, tries, asked, rejected, self._target.rules, self._rng.random
+            )
             if isinstance(step, retry.Sent):
                 self.counts["exported"] += len(records)
                 self.counts["rejected"] += step.rejected
@@ -312,8 +344,12 @@
 
     def figures(self) -> dict[str, int]:
         """Counts by name, for the operators' door."""
-        found = {f"trace_{name}": count for name, count in (self._tracer.counts | self.counts).items()}
-        found.update({f"trace_dropped_{cause}": count for cause, count in self._tracer.queue.dropped.items()})
+        found = {
+            f"trace_{name}": count for name, count in (self._tracer.counts | self.counts).items()
+        }
+        found.update(
+            {f"trace_dropped_{cause}": count for cause, count in self._tracer.queue.dropped.items()}
+        )
         return found
 
 
@@ -327,10 +363,17 @@
 class StoreSpool:
     """Batches under a prefix of a store that is handed in as three functions; at most so many bytes."""
 
-    def __init__(self, put: Callable[[bytes, bytes], Awaitable[bool]],
-                 first: Callable[[bytes], tuple[bytes, bytes] | None],
-                 drop: Callable[[bytes], Awaitable[bool]], *, most: int, held: int = 0, number: int = 0,
-                 prefix: bytes = b"trace/"):
+    def __init__(
+        self,
+        put: Callable[[bytes, bytes], Awaitable[bool]],
+        first: Callable[[bytes], tuple[bytes, bytes] | None],
+        drop: Callable[[bytes], Awaitable[bool]],
+        *,
+        most: int,
+        held: int = 0,
+        number: int = 0,
+        prefix: bytes = b"trace/",
+    ):
         self._put, self._first, self._drop = put, first, drop
         self._most, self._held, self._number, self._prefix = most, held, number, prefix
 
--- a/yewrill/tracing/otlp.py
+++ b/yewrill/tracing/otlp.py
@@ -15,7 +15,9 @@
 _SPAN = pb.Span
 
 
-def request(records: Sequence[Mapping[str, Any]], resource: Mapping[str, Any], version: str) -> bytes:
+def request(
+    records: Sequence[Mapping[str, Any]], resource: Mapping[str, Any], version: str
+) -> bytes:
     """The body of one POST to a collector's /v1/traces."""
     message = service.ExportTraceServiceRequest()
     spans = message.resource_spans.add()
@@ -33,7 +35,9 @@
     answer = service.ExportTraceServiceResponse()
     try:
         answer.ParseFromString(body)
-    except Exception:  # one that says 2xx and talks nonsense has taken them, as far as anyone can tell
+    except (
+        Exception
+    ):  # one that says 2xx and talks nonsense has taken them, as far as anyone can tell
         return 0
     return answer.partial_success.rejected_spans
 
@@ -56,19 +60,39 @@
 def _spans(record: Mapping[str, Any]) -> list[pb.Span]:
     trace, root = bytes.fromhex(record["trace"]), bytes.fromhex(record["span"])
     state = record.get("state", "")
-    whole = _SPAN(trace_id=trace, span_id=root, name=f"POST /{record['class']}", kind=_SPAN.SPAN_KIND_SERVER,
-                  start_time_unix_nano=record["start"], end_time_unix_nano=record["end"], trace_state=state)
+    whole = _SPAN(
+        trace_id=trace,
+        span_id=root,
+        name=f"POST /{record['class']}",
+        kind=_SPAN.SPAN_KIND_SERVER,
+        start_time_unix_nano=record["start"],
+        end_time_unix_nano=record["end"],
+        trace_state=state,
+    )
     if record["parent"]:
         whole.parent_span_id = bytes.fromhex(record["parent"])
     answer = record["answer"]
-    _attributes(whole.attributes, {
-        "http.request.method": "POST", "http.route": f"/{record['class']}",
-        "http.response.status_code": {"served": 200, "refused": 503, "failed": 502}.get(answer),
-        "yewrill.operation.id": record["id"], "yewrill.class": record["class"],
-        "yewrill.tenant": record["tenant"], "yewrill.answer": answer, "yewrill.why": record["why"],
-        "yewrill.late": record["late"], "yewrill.kept": ",".join(record.get("kept", ())),
-        "yewrill.deadline_ms": float(record["deadline_ms"]), "yewrill.aim_ms": float(record["aim_ms"]),
-        **{f"yewrill.part.{name}_ms": value / 1e6 for name, value in record.get("parts", {}).items()}})
+    _attributes(
+        whole.attributes,
+        {
+            "http.request.method": "POST",
+            "http.route": f"/{record['class']}",
+            "http.response.status_code": {"served": 200, "refused": 503, "failed": 502}.get(answer),
+            "yewrill.operation.id": record["id"],
+            "yewrill.class": record["class"],
+            "yewrill.tenant": record["tenant"],
+            "yewrill.answer": answer,
+            "yewrill.why": record["why"],
+            "yewrill.late": record["late"],
+            "yewrill.kept": ",".join(record.get("kept", ())),
+            "yewrill.deadline_ms": float(record["deadline_ms"]),
+            "yewrill.aim_ms": float(record["aim_ms"]),
+            **{
+                f"yewrill.part.{name}_ms": value / 1e6
+                for name, value in record.get("parts", {}).items()
+            },
+        },
+    )
     if answer in ("failed", "refused"):
         whole.status.code = pb.Status.STATUS_CODE_ERROR
         whole.status.message = record["why"] or answer
@@ -81,24 +105,55 @@
     held_from = record["taken"]
     for attempt in record["attempts"]:
         if attempt["begin"] > held_from:
-            spans.append(_held(trace, root, state, held_from, attempt["begin"], attempt["held"],
-                               attempt["span"]))
+            spans.append(
+                _held(
+                    trace,
+                    root,
+                    state,
+                    held_from,
+                    attempt["begin"],
+                    attempt["held"],
+                    attempt["span"],
+                )
+            )
         held_from = attempt["end"]
     if answer != "served" and record["decided"] > held_from:
-        spans.append(_held(trace, root, state, held_from, record["decided"], record["why"], record["span"]))
+        spans.append(
+            _held(trace, root, state, held_from, record["decided"], record["why"], record["span"])
+        )
     return spans
 
 
-def _attempt(trace: bytes, root: bytes, state: str, before: Mapping[str, Any] | None,
-             attempt: Mapping[str, Any]) -> pb.Span:
-    span = _SPAN(trace_id=trace, span_id=bytes.fromhex(attempt["span"]), parent_span_id=root, name="attempt",
-                 kind=_SPAN.SPAN_KIND_CLIENT, start_time_unix_nano=attempt["begin"],
-                 end_time_unix_nano=attempt["end"], trace_state=state)
-    _attributes(span.attributes, {
-        "server.address": attempt["to"], "http.request.resend_count": attempt["number"] or None,
-        "yewrill.attempt.number": attempt["number"], "yewrill.attempt.among": attempt["among"],
-        "yewrill.attempt.held": attempt["held"], "yewrill.attempt.ending": attempt["ending"],
-        "yewrill.attempt.then": attempt["then"], "yewrill.attempt.share": float(attempt["share"])})
+def _attempt(
+    trace: bytes,
+    root: bytes,
+    state: str,
+    before: Mapping[str, Any] | None,
+    attempt: Mapping[str, Any],
+) -> pb.Span:
+    span = _SPAN(
+        trace_id=trace,
+        span_id=bytes.fromhex(attempt["span"]),
+        parent_span_id=root,
+        name="attempt",
+        kind=_SPAN.SPAN_KIND_CLIENT,
+        start_time_unix_nano=attempt["begin"],
+        end_time_unix_nano=attempt["end"],
+        trace_state=state,
+    )
+    _attributes(
+        span.attributes,
+        {
+            "server.address": attempt["to"],
+            "http.request.resend_count": attempt["number"] or None,
+            "yewrill.attempt.number": attempt["number"],
+            "yewrill.attempt.among": attempt["among"],
+            "yewrill.attempt.held": attempt["held"],
+            "yewrill.attempt.ending": attempt["ending"],
+            "yewrill.attempt.then": attempt["then"],
+            "yewrill.attempt.share": float(attempt["share"]),
+        },
+    )
     for name in ("connected", "written", "started", "progressed"):
         if attempt[name]:
             span.events.add(time_unix_nano=attempt[name], name=name)
@@ -111,10 +166,20 @@
     return span
 
 
-def _held(trace: bytes, root: bytes, state: str, begin: int, end: int, why: str, next_span: str) -> pb.Span:
+def _held(
+    trace: bytes, root: bytes, state: str, begin: int, end: int, why: str, next_span: str
+) -> pb.Span:
     # Made of what is known, so its id must be: one bit away from the attempt's that it waited for.
     id = (int(next_span, 16) ^ 1 << 63).to_bytes(8, "big")
-    span = _SPAN(trace_id=trace, span_id=id, parent_span_id=root, name="held", kind=_SPAN.SPAN_KIND_INTERNAL,
-                 start_time_unix_nano=begin, end_time_unix_nano=end, trace_state=state)
+    span = _SPAN(
+        trace_id=trace,
+        span_id=id,
+        parent_span_id=root,
+        name="held",
+        kind=_SPAN.SPAN_KIND_INTERNAL,
+        start_time_unix_nano=begin,
+        end_time_unix_nano=end,
+        trace_state=state,
+    )
     _attributes(span.attributes, {"yewrill.held": why})
     return span
