--- a/yewrill/tracing/reading.py
+++ b/yewrill/tracing/reading.py
@@ -14,8 +14,15 @@
 from yewrill.tracing import breakdown
 
 Record = Mapping[str, Any]
-_GLYPHS = {"receiving": "r", "held": ".", "connecting": "c", "queued": "q", "running": "#", "lost": "x",
-           "answering": "a"}
+_GLYPHS = {
+    "receiving": "r",
+    "held": ".",
+    "connecting": "c",
+    "queued": "q",
+    "running": "#",
+    "lost": "x",
+    "answering": "a",
+}
 _SINCE = re.compile(r"(\d+)(s|m|h|d)")
 _SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
@@ -36,11 +43,16 @@
     until: int = 0
 
     def passes(self, record: Record) -> bool:
-        return ((not self.job_class or record["class"] == self.job_class)
-                and (not self.tenant or record["tenant"] == self.tenant)
-                and (not self.destination or any(a["to"] == self.destination for a in record["attempts"]))
-                and (not self.cause or self.cause in record["kept"])
-                and record["end"] >= self.since and (not self.until or record["start"] <= self.until))
+        return (
+            (not self.job_class or record["class"] == self.job_class)
+            and (not self.tenant or record["tenant"] == self.tenant)
+            and (
+                not self.destination or any(a["to"] == self.destination for a in record["attempts"])
+            )
+            and (not self.cause or self.cause in record["kept"])
+            and record["end"] >= self.since
+            and (not self.until or record["start"] <= self.until)
+        )
 
 
 def time_of(text: str, now: float) -> int:
@@ -69,7 +81,13 @@
                 for number, line in enumerate(lines, 1):
                     try:
                         record = ujson.loads(line)
-                        record["trace"], record["start"], record["end"], record["attempts"], record["parts"]
+                        (
+                            record["trace"],
+                            record["start"],
+                            record["end"],
+                            record["attempts"],
+                            record["parts"],
+                        )
                     except (ValueError, KeyError, TypeError):
                         error = BadLine(f"{file}:{number}: no record")
                         if on_bad is None:
@@ -89,9 +107,11 @@
 
 def line(record: Record) -> str:
     """One line of a list."""
-    return (f"{moment(record['start'])} {record['trace']} {record['class']:<12} {record['answer']:<8}"
-            f"{ms(record['end'] - record['start']):>12}  {len(record['attempts'])} attempts  "
-            f"{','.join(record['kept']):<16} {record['id']}")
+    return (
+        f"{moment(record['start'])} {record['trace']} {record['class']:<12} {record['answer']:<8}"
+        f"{ms(record['end'] - record['start']):>12}  {len(record['attempts'])} attempts  "
+        f"{','.join(record['kept']):<16} {record['id']}"
+    )
 
 
 def waterfall(record: Record, width: int = 72) -> list[str]:
@@ -110,10 +130,14 @@
 
     rows = [f"{'operation':<14}|{draw(breakdown.stretches(record))}| {ms(whole)}"]
     for attempt in record["attempts"]:
-        rows.append(f"{attempt['number']}: {attempt['to'][:11]:<11}|{draw(_of(attempt))}| "
-                    f"{ms(attempt['end'] - attempt['begin'])} {attempt['ending']}")
+        rows.append(
+            f"{attempt['number']}: {attempt['to'][:11]:<11}|{draw(_of(attempt))}| "
+            f"{ms(attempt['end'] - attempt['begin'])} {attempt['ending']}"
+        )
     for event in record["events"]:
-        rows.append(f"{'':<14}|{'':<{column(event['at'])}}^ {event['name']} {event['text']}".rstrip())
+        rows.append(
+            f"{'':<14}|{'':<{column(event['at'])}}^ {event['name']} {event['text']}".rstrip()
+        )
     rows.append("  ".join(f"{glyph} {part}" for part, glyph in _GLYPHS.items()))
     return rows
 
@@ -129,51 +153,81 @@
     yield "running", started, attempt["end"]
 
 
-_ANSWERS = {"served": "was served", "refused": "was refused (a busy reply)", "failed": "failed",
-            "left": "had no answer: its client left"}
+_ANSWERS = {
+    "served": "was served",
+    "refused": "was refused (a busy reply)",
+    "failed": "failed",
+    "left": "had no answer: its client left",
+}
 _ENDINGS = {
-    "failed": "the destination said that it failed", "garbled": "its answer was not the protocol's",
+    "failed": "the destination said that it failed",
+    "garbled": "its answer was not the protocol's",
     "turned away": "the destination sent it back unstarted",
     "unreached": "the destination could not be reached",
     "reset": "the connection broke after the request was out, so it may have run",
     "worn, unreached": "a kept connection was dead before the request was out",
     "worn, reset": "a kept connection broke under it, so it may have run",
-    "timed out": "nothing came in time, so it may have run", "called off": "the module withdrew it",
+    "timed out": "nothing came in time, so it may have run",
+    "called off": "the module withdrew it",
     "not sent": "client, deadline or destination did not stand the last look before the send",
-    "broken": "a fault of our own", "unknown": "its end was not seen",
+    "broken": "a fault of our own",
+    "unknown": "its end was not seen",
 }
 
 
 def why(record: Record) -> list[str]:
     """Plain sentences: what became of it, where the time went, why each retry and refusal came."""
     whole = record["end"] - record["start"]
-    said = [f"{record['class']} {record['id']} of {record['tenant'] or 'no tenant'} "
-            f"{_ANSWERS[record['answer']]} after {ms(whole)}."]
+    said = [
+        f"{record['class']} {record['id']} of {record['tenant'] or 'no tenant'} "
+        f"{_ANSWERS[record['answer']]} after {ms(whole)}."
+    ]
     if record["late"]:
-        said.append(f"It was late: wanted within {record['aim_ms']:g} ms plus {record['stretch']:g} times "
-                    "its own running time.")
+        said.append(
+            f"It was late: wanted within {record['aim_ms']:g} ms plus {record['stretch']:g} times "
+            "its own running time."
+        )
     if record["why"]:
         said.append(f"The module's ground: {record['why']}.")
     parts = sorted(record["parts"].items(), key=lambda item: -item[1])
-    said.append("Its time went to " + ", ".join(f"{part} {ms(spent)} ({100 * spent / max(1, whole):.0f}%)"
-                                                for part, spent in parts if spent > 0) + ".")
+    said.append(
+        "Its time went to "
+        + ", ".join(
+            f"{part} {ms(spent)} ({100 * spent / max(1, whole):.0f}%)"
+            for part, spent in parts
+            if spent > 0
+        )
+        + "."
+    )
     before = record["taken"]
     for attempt in record["attempts"]:
         wait = attempt["begin"] - before
         reason = f" ({attempt['held']})" if attempt["held"] else ""
-        said.append(f"Attempt {attempt['number']} went to {attempt['to']}, one of {attempt['among']}, "
-                    f"after being held for {ms(wait)}{reason}.")
+        said.append(
+            f"Attempt {attempt['number']} went to {attempt['to']}, one of {attempt['among']}, "
+            f"after being held for {ms(wait)}{reason}."
+        )
         if attempt["ending"] == "served":
             if attempt["started"]:
-                said.append(f"  It waited there for {ms(attempt['started'] - attempt['written'])} and ran "
-                            f"for {ms(attempt['end'] - attempt['started'])}.")
+                said.append(
+                    f"  It waited there for {ms(attempt['started'] - attempt['written'])} and ran "
+                    f"for {ms(attempt['end'] - attempt['started'])}."
+                )
         else:
-            began = "it had started there" if attempt["started"] else \
-                "it had not started, as far as was told"
-            said.append(f"  It came to nothing after {ms(attempt['end'] - attempt['begin'])}: "
-                        f"{_ENDINGS.get(attempt['ending'], attempt['ending'])}; {began}; "
-                        f"then: {attempt['then']}.")
+            began = (
+                "it had started there"
+                if attempt["started"]
+                else "it had not started, as far as was told"
+            )
+            said.append(
+                f"  It came to nothing after {ms(attempt['end'] - attempt['begin'])}: "
+                f"{_ENDINGS.get(attempt['ending'], attempt['ending'])}; {began}; "
+                f"then: {attempt['then']}."
+            )
         before = attempt["end"]
     for event in record["events"]:
-        said.append(f"{ms(event['at'] - record['start'])} in: {event['name']} {event['text']}".rstrip() + ".")
+        said.append(
+            f"{ms(event['at'] - record['start'])} in: {event['name']} {event['text']}".rstrip()
+            + "."
+        )
     return said
--- a/yewrill/tracing/record.py
+++ b/yewrill/tracing/record.py
@@ -17,16 +17,33 @@
 
 
 def _cut(text: str) -> str:
-    return text if len(text) <= MOST_TEXT else text[:MOST_TEXT - 1] + "…"
+    return text if len(text) <= MOST_TEXT else text[: MOST_TEXT - 1] + "…"
 
 
 class AttemptTrace:
     """One attempt; a moment that never came stays at 0."""
 
-    __slots__ = ("span", "number", "destination", "among", "held", "chosen", "begin", "connected", "written",
-                 "started", "progressed", "share", "end", "ending", "headers")
-
-    def __init__(self, span: str, number: int, destination: str, among: int, held: str, chosen: float):
+    __slots__ = (
+        "span",
+        "number",
+        "destination",
+        "among",
+        "held",
+        "chosen",
+        "begin",
+        "connected",
+        "written",
+        "started",
+        "progressed",
+        "share",
+        "end",
+        "ending",
+        "headers",
+    )
+
+    def __init__(
+        self, span: str, number: int, destination: str, among: int, held: str, chosen: float
+    ):
         self.span = span
         self.number = number
         self.destination = destination
@@ -45,16 +62,49 @@
 class OperationTrace:
     """An operation under way."""
 
-    __slots__ = ("context", "span", "id", "job_class", "tenant", "aim", "stretch", "deadline", "start",
-                 "taken", "decided", "answer", "why", "retry_after", "attempts", "events", "_tracer")
-
-    def __init__(self, tracer: Any, context: Context, span: str, id: str, job_class: str, tenant: str,
-                 aim: float, stretch: float, deadline: float, start: float, taken: float):
+    __slots__ = (
+        "context",
+        "span",
+        "id",
+        "job_class",
+        "tenant",
+        "aim",
+        "stretch",
+        "deadline",
+        "start",
+        "taken",
+        "decided",
+        "answer",
+        "why",
+        "retry_after",
+        "attempts",
+        "events",
+        "_tracer",
+    )
+
+    def __init__(
+        self,
+        tracer: Any,
+        context: Context,
+        span: str,
+        id: str,
+        job_class: str,
+        tenant: str,
+        aim: float,
+        stretch: float,
+        deadline: float,
+        start: float,
+        taken: float,
+    ):
         self._tracer = tracer
         self.context = context
         self.span = span
         self.id, self.job_class, self.tenant = id, job_class, tenant
-        self.aim, self.stretch, self.deadline = aim, stretch, deadline  # ms, none, ms from the start
+        self.aim, self.stretch, self.deadline = (
+            aim,
+            stretch,
+            deadline,
+        )  # ms, none, ms from the start
         self.start, self.taken = start, taken
         self.decided = 0.0
         self.answer = self.why = ""
@@ -62,7 +112,9 @@
         self.attempts: list[AttemptTrace] = []
         self.events: list[tuple[float, str, str]] = []
 
-    def chosen(self, number: int, destination: str, among: int, held: str, at: float) -> AttemptTrace:
+    def chosen(
+        self, number: int, destination: str, among: int, held: str, at: float
+    ) -> AttemptTrace:
         attempt = AttemptTrace(self._tracer.new_span(), number, destination, among, held, at)
         attempt.headers = self._tracer.headers(self.context, attempt.span)
         self.attempts.append(attempt)
@@ -79,26 +131,58 @@
 
     def as_dict(self, end: float, offset: float) -> dict[str, Any]:
         """`offset`: seconds from the loop's clock to the epoch."""
+
         def ns(at: float) -> int:
             return int((at + offset) * 1e9) if at else 0
 
         attempts = []
         for attempt in self.attempts:
-            then = "served" if attempt.ending == "served" else \
-                "tried again" if attempt is not self.attempts[-1] else self.answer or "left"
-            attempts.append({
-                "span": attempt.span, "number": attempt.number, "to": _cut(attempt.destination),
-                "among": attempt.among, "held": attempt.held, "chosen": ns(attempt.chosen),
-                "begin": ns(attempt.begin or attempt.chosen), "connected": ns(attempt.connected),
-                "written": ns(attempt.written), "started": ns(attempt.started),
-                "progressed": ns(attempt.progressed), "share": attempt.share,
-                "end": ns(attempt.end or end), "ending": attempt.ending or "unknown", "then": then})
+            then = (
+                "served"
+                if attempt.ending == "served"
+                else "tried again"
+                if attempt is not self.attempts[-1]
+                else self.answer or "left"
+            )
+            attempts.append(
+                {
+                    "span": attempt.span,
+                    "number": attempt.number,
+                    "to": _cut(attempt.destination),
+                    "among": attempt.among,
+                    "held": attempt.held,
+                    "chosen": ns(attempt.chosen),
+                    "begin": ns(attempt.begin or attempt.chosen),
+                    "connected": ns(attempt.connected),
+                    "written": ns(attempt.written),
+                    "started": ns(attempt.started),
+                    "progressed": ns(attempt.progressed),
+                    "share": attempt.share,
+                    "end": ns(attempt.end or end),
+                    "ending": attempt.ending or "unknown",
+                    "then": then,
+                }
+            )
         return {
-            "v": VERSION, "trace": self.context.trace, "span": self.span, "parent": self.context.parent,
-            "id": _cut(self.id), "class": _cut(self.job_class), "tenant": _cut(self.tenant),
-            "start": ns(self.start), "taken": ns(self.taken), "decided": ns(self.decided), "end": ns(end),
-            "deadline_ms": self.deadline, "aim_ms": self.aim, "stretch": self.stretch,
-            "answer": self.answer or "left", "why": self.why, "retry_after_ms": self.retry_after,
+            "v": VERSION,
+            "trace": self.context.trace,
+            "span": self.span,
+            "parent": self.context.parent,
+            "id": _cut(self.id),
+            "class": _cut(self.job_class),
+            "tenant": _cut(self.tenant),
+            "start": ns(self.start),
+            "taken": ns(self.taken),
+            "decided": ns(self.decided),
+            "end": ns(end),
+            "deadline_ms": self.deadline,
+            "aim_ms": self.aim,
+            "stretch": self.stretch,
+            "answer": self.answer or "left",
+            "why": self.why,
+            "retry_after_ms": self.retry_after,
             "attempts": attempts,
-            "events": [{"at": ns(at), "name": name, "text": _cut(text)} for at, name, text in self.events],
+            "events": [
+                {"at": ns(at), "name": name, "text": _cut(text)} for at, name, text in self.events
+            ],
         }
--- a/yewrill/tracing/report.py
+++ b/yewrill/tracing/report.py
@@ -14,8 +14,15 @@
 AT = (50.0, 90.0, 99.0)
 WORST = 20
 MOST_VALUES = 100_000  # of a class and part; later ones thin what is there
-_COLOURS = {"receiving": "#9aa5b1", "held": "#e0b64a", "connecting": "#7fb3d5", "queued": "#d98880",
-            "running": "#58a672", "lost": "#b03a48", "answering": "#8e7cc3"}
+_COLOURS = {
+    "receiving": "#9aa5b1",
+    "held": "#e0b64a",
+    "connecting": "#7fb3d5",
+    "queued": "#d98880",
+    "running": "#58a672",
+    "lost": "#b03a48",
+    "answering": "#8e7cc3",
+}
 _STYLE = """body{font:14px/1.5 system-ui,sans-serif;margin:2em auto;max-width:64em;color:#222}
 table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .8em;border-bottom:1px solid
 #ddd;text-align:right}
@@ -41,7 +48,9 @@
         self.causes[job_class].update(bad or ["ordinary"])
         if record["why"]:
             self.grounds[record["answer"], record["why"]] += 1
-        self.endings.update((a["to"], a["ending"]) for a in record["attempts"] if a["ending"] != "served")
+        self.endings.update(
+            (a["to"], a["ending"]) for a in record["attempts"] if a["ending"] != "served"
+        )
         values = self.values[job_class]
         for part, spent in record["parts"].items():
             if len(values[part]) >= MOST_VALUES:
@@ -56,24 +65,40 @@
 
     def html(self) -> str:
         causes = (*sampling.BAD, "ordinary")
-        key = "".join(f'<i style="background:{colour}"></i>{part}' for part, colour in _COLOURS.items())
+        key = "".join(
+            f'<i style="background:{colour}"></i>{part}' for part, colour in _COLOURS.items()
+        )
         sections = [
-            "<h1>Where the time went</h1>", f"<p>{self.count} records.</p>",
+            "<h1>Where the time went</h1>",
+            f"<p>{self.count} records.</p>",
             "<h2>By class and cause</h2>",
-            _table(["class", *causes], ([name, *(found[cause] for cause in causes)]
-                                        for name, found in sorted(self.causes.items()))),
+            _table(
+                ["class", *causes],
+                (
+                    [name, *(found[cause] for cause in causes)]
+                    for name, found in sorted(self.causes.items())
+                ),
+            ),
             "<h2>Grounds of refusals and failures</h2>",
-            _table(["answer", "ground", "jobs"],
-                   ([*ground, count] for ground, count in self.grounds.most_common(30))),
+            _table(
+                ["answer", "ground", "jobs"],
+                ([*ground, count] for ground, count in self.grounds.most_common(30)),
+            ),
             "<h2>Attempts that came to nothing</h2>",
-            _table(["destination", "ending", "attempts"],
-                   ([*what, count] for what, count in self.endings.most_common(30))),
-            "<h2>Breakdown by percentile, ms</h2>", self._breakdown(),
-            f"<h2>The worst {len(self.worst)}</h2>", f'<p class="key">{key}</p>',
+            _table(
+                ["destination", "ending", "attempts"],
+                ([*what, count] for what, count in self.endings.most_common(30)),
+            ),
+            "<h2>Breakdown by percentile, ms</h2>",
+            self._breakdown(),
+            f"<h2>The worst {len(self.worst)}</h2>",
+            f'<p class="key">{key}</p>',
             *(_worst(record) for _, _, record in sorted(self.worst, reverse=True)),
         ]
-        return ("<!doctype html><html lang=en><meta charset=utf-8><title>yewrill trace report</title>"
-                f"<style>{_STYLE}</style><body>{''.join(sections)}</body></html>\n")
+        return (
+            "<!doctype html><html lang=en><meta charset=utf-8><title>yewrill trace report</title>"
+            f"<style>{_STYLE}</style><body>{''.join(sections)}</body></html>\n"
+        )
 
     def _breakdown(self) -> str:
         rows = []
@@ -85,19 +110,28 @@
 
 
 def _table(heads: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
-    body = "".join("<tr>" + "".join(f"<td>{escape(str(cell))}</td>" for cell in row) + "</tr>"
-                   for row in rows)
+    body = "".join(
+        "<tr>" + "".join(f"<td>{escape(str(cell))}</td>" for cell in row) + "</tr>" for row in rows
+    )
     if not body:
         return "<p>None.</p>"
-    return "<table><tr>" + "".join(f"<th>{escape(head)}</th>" for head in heads) + f"</tr>{body}</table>"
+    return (
+        "<table><tr>"
+        + "".join(f"<th>{escape(head)}</th>" for head in heads)
+        + f"</tr>{body}</table>"
+    )
 
 
 def _worst(record: reading.Record) -> str:
     whole = max(1, record["end"] - record["start"])
-    bar = "".join(f'<i title="{part} {reading.ms(end - begin)}" style="background:{_COLOURS[part]};'
-                  f'width:{100 * (end - begin) / whole:.2f}%"></i>'
-                  for part, begin, end in breakdown.stretches(record))
+    bar = "".join(
+        f'<i title="{part} {reading.ms(end - begin)}" style="background:{_COLOURS[part]};'
+        f'width:{100 * (end - begin) / whole:.2f}%"></i>'
+        for part, begin, end in breakdown.stretches(record)
+    )
     text = escape("\n".join(reading.why(record)))
-    return (f"<details><summary>{escape(record['class'])} {escape(record['id'])}: {reading.ms(whole)}, "
-            f"{escape(','.join(record['kept']))}</summary>"
-            f"<div class=bar>{bar}</div><pre>{text}</pre></details>")
+    return (
+        f"<details><summary>{escape(record['class'])} {escape(record['id'])}: {reading.ms(whole)}, "
+        f"{escape(','.join(record['kept']))}</summary>"
+        f"<div class=bar>{bar}</div><pre>{text}</pre></details>"
+    )
--- a/yewrill/tracing/retry.py
+++ b/yewrill/tracing/retry.py
@@ -44,8 +44,14 @@
     cause: str
 
 
-def decide(status: int, tries: int, asked: float | None, rejected: int, rules: Rules,
-           random: Callable[[], float]) -> Sent | Again | GivenUp:
+def decide(
+    status: int,
+    tries: int,
+    asked: float | None,
+    rejected: int,
+    rules: Rules,
+    random: Callable[[], float],
+) -> Sent | Again | GivenUp:
     """After the `tries`-th try of a batch, from 1. `asked`: Retry-After in seconds; `random` gives 0 to 1."""
     if 200 <= status < 300:
         return Sent(rejected)
--- a/yewrill/tracing/tracer.py
+++ b/yewrill/tracing/tracer.py
@@ -24,10 +24,18 @@
 class Tracer:
     """`clock` gives the loop's seconds, `wall` the epoch's; the latter is asked once."""
 
-    def __init__(self, bounds: Bounds, *, clock: Callable[[], float], wall: Callable[[], float],
-                 rng: random.Random):
+    def __init__(
+        self,
+        bounds: Bounds,
+        *,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        rng: random.Random,
+    ):
         self._clock = clock
-        self._offset = wall() - clock()  # once: a wall clock that is being set must bend no duration
+        self._offset = (
+            wall() - clock()
+        )  # once: a wall clock that is being set must bend no duration
         self._rng = rng
         self._open: set[OperationTrace] = set()
         self.queue = sampling.Queue(bounds.queue)
@@ -46,14 +54,36 @@
     def new_span(self) -> str:
         return f"{self._rng.getrandbits(64) or 1:016x}"
 
-    def begin(self, id: str, job_class: str, tenant: str, *, aim: float, stretch: float, deadline: float,
-              parent: str | None, state: str | None, first_byte: float) -> OperationTrace:
+    def begin(
+        self,
+        id: str,
+        job_class: str,
+        tenant: str,
+        *,
+        aim: float,
+        stretch: float,
+        deadline: float,
+        parent: str | None,
+        state: str | None,
+        first_byte: float,
+    ) -> OperationTrace:
         """An operation is taken. `aim` and `deadline` in ms, `first_byte` by the loop's clock."""
         found = context.read(parent, state)
         if found is None:
             found = Context(f"{self._rng.getrandbits(128) or 1:032x}")
-        trace = OperationTrace(self, found, self.new_span(), id, job_class, tenant, aim, stretch, deadline,
-                               first_byte, self._clock())
+        trace = OperationTrace(
+            self,
+            found,
+            self.new_span(),
+            id,
+            job_class,
+            tenant,
+            aim,
+            stretch,
+            deadline,
+            first_byte,
+            self._clock(),
+        )
         self._open.add(trace)
         return trace
 
@@ -88,7 +118,9 @@
         bad = any(cause in sampling.BAD for cause in kept)
         record["kept"] = kept
         # A bad one stands for itself alone; an ordinary one for as many as the share says.
-        record["state"] = context.state_header(found, self._threshold if kept == [sampling.SAMPLED] else "0")
+        record["state"] = context.state_header(
+            found, self._threshold if kept == [sampling.SAMPLED] else "0"
+        )
         record["parts"] = breakdown.parts(record)
         self.counts["kept_bad" if bad else "kept_ordinary"] += 1
         self.queue.put(record, bad)
--- a/yewrill/views/agreement.py
+++ b/yewrill/views/agreement.py
@@ -68,30 +68,49 @@
         elif other.ballot == before.ballot:
             best, best_value = max((before.best, before.best_value), (other.best, other.best_value))
             self.word = before._replace(
-                promised=before.promised | other.promised, best=best, best_value=best_value,
-                proposal=before.proposal or other.proposal, accepted=before.accepted | other.accepted)
+                promised=before.promised | other.promised,
+                best=best,
+                best_value=best_value,
+                proposal=before.proposal or other.proposal,
+                accepted=before.accepted | other.accepted,
+            )
         self._go_on()
         return self.word != before
 
     def _check(self, word: Word) -> None:
         """Raises ValueError. Two proposals under one ballot can't be."""
         ours = self.word
-        other = word.ballot == ours.ballot and word.proposal and ours.proposal not in (b"", word.proposal)
-        if not 0 <= word.ballot[0] <= MOST_TRY or not -1 <= word.ballot[1] < self.size \
-                or (word.promised | word.accepted) >> self.size or word.best >= word.ballot > NONE \
-                or (word.best == NONE) != (word.best_value == b"") \
-                or (word.accepted and not word.proposal) or other:
+        other = (
+            word.ballot == ours.ballot
+            and word.proposal
+            and ours.proposal not in (b"", word.proposal)
+        )
+        if (
+            not 0 <= word.ballot[0] <= MOST_TRY
+            or not -1 <= word.ballot[1] < self.size
+            or (word.promised | word.accepted) >> self.size
+            or word.best >= word.ballot > NONE
+            or (word.best == NONE) != (word.best_value == b"")
+            or (word.accepted and not word.proposal)
+            or other
+        ):
             raise ValueError("no word of this vote")
 
     def _promise(self, word: Word) -> None:
         """Take a higher ballot, and promise it with what we accepted before."""
         ballot, value = self.accepted or (NONE, b"")
         best, best_value = max((word.best, word.best_value), (ballot, value))
-        self.word = word._replace(promised=word.promised | 1 << self.rank, best=best, best_value=best_value)
+        self.word = word._replace(
+            promised=word.promised | 1 << self.rank, best=best, best_value=best_value
+        )
 
     def _go_on(self) -> None:
         word = self.word
-        if word.ballot[1] == self.rank and not word.proposal and word.promised.bit_count() >= self.majority:
+        if (
+            word.ballot[1] == self.rank
+            and not word.proposal
+            and word.promised.bit_count() >= self.majority
+        ):
             word = word._replace(proposal=word.best_value or self._offered)
         if word.proposal and not word.accepted >> self.rank & 1:
             word = word._replace(accepted=word.accepted | 1 << self.rank)
--- a/yewrill/views/config.py
+++ b/yewrill/views/config.py
@@ -15,7 +15,9 @@
 
     founders: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=64)]
     dir: Annotated[str, Meta(min_length=1)]
-    can: Annotated[tuple[Annotated[str, Meta(min_length=1, max_length=16)], ...], Meta(max_length=8)] = ()
+    can: Annotated[
+        tuple[Annotated[str, Meta(min_length=1, max_length=16)], ...], Meta(max_length=8)
+    ] = ()
 
     def __post_init__(self) -> None:
         if len(set(self.founders)) != len(self.founders):
--- a/yewrill/views/cut.py
+++ b/yewrill/views/cut.py
@@ -18,19 +18,28 @@
     return min(high, max(2, math.ceil(0.25 * degree))), high
 
 
-def judge(edges: Callable[[int], tuple[int, ...]],
-          alerts: Iterable[tuple[int, int]]) -> tuple[frozenset[int], frozenset[int]]:
+def judge(
+    edges: Callable[[int], tuple[int, ...]], alerts: Iterable[tuple[int, int]]
+) -> tuple[frozenset[int], frozenset[int]]:
     """Who is out and who is unstable. `alerts`: pairs of observer, and rank of whom it finds not well."""
     voices: dict[int, set[int]] = {}
     for observer, subject in alerts:
         voices.setdefault(subject, set()).add(observer)
-    doubted = {subject for subject, of in voices.items() if len(of) >= marks(len(edges(subject)))[0]}
-    out = {subject for subject in doubted
-           if sum(o in voices[subject] or o in doubted for o in edges(subject))
-           >= marks(len(edges(subject)))[1]}
+    doubted = {
+        subject for subject, of in voices.items() if len(of) >= marks(len(edges(subject)))[0]
+    }
+    out = {
+        subject
+        for subject in doubted
+        if sum(o in voices[subject] or o in doubted for o in edges(subject))
+        >= marks(len(edges(subject)))[1]
+    }
     more = True
     while more:  # one that nobody vouches for but who is out himself
-        more = {subject for subject, of in voices.items()
-                if subject not in out and all(o in of or o in out for o in edges(subject))}
+        more = {
+            subject
+            for subject, of in voices.items()
+            if subject not in out and all(o in of or o in out for o in edges(subject))
+        }
         out |= more
     return frozenset(out), frozenset(doubted - out)
--- a/yewrill/views/facade.py
+++ b/yewrill/views/facade.py
@@ -82,8 +82,12 @@
             rng = random.Random(random.SystemRandom().getrandbits(64))
             entry = Entry(me.name, rng.getrandbits(48) | 1, me.address, me.zone, self._config.can)
             self._machine = Machine(entry, self._config.founders, kept, rng, trio.current_time())
-            log.info("views name=%s founder=%s kept=%d", me.name, me.name in self._config.founders,
-                     0 if kept is None else kept.number)
+            log.info(
+                "views name=%s founder=%s kept=%d",
+                me.name,
+                me.name in self._config.founders,
+                0 if kept is None else kept.number,
+            )
             link.cargo[VIEWS] = self._receive
             task_status.started()
             await self._serve(link, self._machine)
@@ -108,13 +112,21 @@
         while True:
             if listed is not link.news:
                 listed = link.news
-                machine.know({name: m.claim.address for name, m in link.machine.listed.items()
-                              if m.claim.state not in (DEAD, LEFT)}, trio.current_time())
+                machine.know(
+                    {
+                        name: m.claim.address
+                        for name, m in link.machine.listed.items()
+                        if m.claim.state not in (DEAD, LEFT)
+                    },
+                    trio.current_time(),
+                )
             with trio.move_on_at(machine.due):
                 await self._woken.wait()
             self._woken = trio.Event()
             now = trio.current_time()
-            if now >= machine.due:  # a pause is seen by it, before what arrived meanwhile is looked at
+            if (
+                now >= machine.due
+            ):  # a pause is seen by it, before what arrived meanwhile is looked at
                 await self._carry_out(link, machine.tick(now))
             queue, self._queue = self._queue, []
             for data, sender, address in queue:
@@ -150,8 +162,12 @@
             return
         self._told = number, holds
         if view is not None:
-            log.info("view number=%d digest=%s members=%s", view.number, view.digest.hex(),
-                     ",".join(entry.name for entry in view.entries))
+            log.info(
+                "view number=%d digest=%s members=%s",
+                view.number,
+                view.digest.hex(),
+                ",".join(entry.name for entry in view.entries),
+            )
         else:
             log.info("view none last=%d (%s)", number, machine.standing(trio.current_time()))
         for wake in self._watchers:
@@ -170,18 +186,35 @@
             "last": 0 if installed is None else installed.number,
             "digest": "" if installed is None else installed.digest.hex(),
             "standing": machine.standing(now),
-            "members": [] if installed is None else [
-                {"name": e.name, "zone": e.zone, "address": ":".join(map(str, e.address)), "can": list(e.can),
-                 "incarnation": f"{e.incarnation:012x}"} for e in installed.entries],
-            **self.figures()}
+            "members": []
+            if installed is None
+            else [
+                {
+                    "name": e.name,
+                    "zone": e.zone,
+                    "address": ":".join(map(str, e.address)),
+                    "can": list(e.can),
+                    "incarnation": f"{e.incarnation:012x}",
+                }
+                for e in installed.entries
+            ],
+            **self.figures(),
+        }
 
     def figures(self) -> dict[str, int]:
         """Counts since the start, by the names operators see."""
         if self._machine is None:
             return {}
         counts = self._machine.counts
-        return {"views_number": self.number, "views_installed": counts.installed,
-                "views_proposed": counts.proposed, "views_taken_out": counts.taken_out,
-                "views_late": counts.late, "views_conflict": counts.conflict, "views_refused": counts.refused,
-                "views_lost": self._lost, "views_malformed": self._malformed,
-                "views_not_kept": self._not_kept}
+        return {
+            "views_number": self.number,
+            "views_installed": counts.installed,
+            "views_proposed": counts.proposed,
+            "views_taken_out": counts.taken_out,
+            "views_late": counts.late,
+            "views_conflict": counts.conflict,
+            "views_refused": counts.refused,
+            "views_lost": self._lost,
+            "views_malformed": self._malformed,
+            "views_not_kept": self._not_kept,
+        }
--- a/yewrill/views/format.py
+++ b/yewrill/views/format.py
@@ -157,7 +157,7 @@
     elif mark in (b"\1", b"\2") and len(rest) % 2 == 0:
         value = 0
         for at in range(0, len(rest), 2):
-            value |= 1 << min(int.from_bytes(rest[at:at + 2], "little"), size)
+            value |= 1 << min(int.from_bytes(rest[at : at + 2], "little"), size)
         if mark == b"\2" and not value >> size:
             value ^= (1 << size) - 1
     else:
@@ -175,15 +175,29 @@
     """Raises Malformed where it is none of a view of this size."""
     if r.opener >= size or r.opener_before >= size:
         raise Malformed("ranks")
-    return Round(r.number, r.opener, r.opener_before, whole_of(r.before, size), whole_of(r.bits, size))
+    return Round(
+        r.number, r.opener, r.opener_before, whole_of(r.before, size), whole_of(r.bits, size)
+    )
 
 
 def wire_word(w: Word, size: int) -> WireWord:
-    return WireWord(w.ballot, bits(w.promised, size), w.best, w.best_value,
-                    None if w.proposal == w.best_value else w.proposal, bits(w.accepted, size))
+    return WireWord(
+        w.ballot,
+        bits(w.promised, size),
+        w.best,
+        w.best_value,
+        None if w.proposal == w.best_value else w.proposal,
+        bits(w.accepted, size),
+    )
 
 
 def word_of(w: WireWord, size: int) -> Word:
     """Raises Malformed where it is none of a view of this size; the vote looks at the rest."""
-    return Word(w.ballot, whole_of(w.promised, size), w.best, w.best_value,
-                w.best_value if w.proposal is None else w.proposal, whole_of(w.accepted, size))
+    return Word(
+        w.ballot,
+        whole_of(w.promised, size),
+        w.best,
+        w.best_value,
+        w.best_value if w.proposal is None else w.proposal,
+        whole_of(w.accepted, size),
+    )
--- a/yewrill/views/founding.py
+++ b/yewrill/views/founding.py
@@ -27,14 +27,18 @@
 
 
 def _digest(entries: tuple[Entry, ...]) -> bytes:
-    return hashlib.blake2b(msgspec.msgpack.encode(entries), digest_size=8, person=b"view-found").digest()
+    return hashlib.blake2b(
+        msgspec.msgpack.encode(entries), digest_size=8, person=b"view-found"
+    ).digest()
 
 
 class Founding:
     """One process's part, while it is in no view. `fresh`: seconds for which a call counts; `wait`: seconds
     that all must be there, where views were kept: leases of then have run out."""
 
-    def __init__(self, me: Entry, founders: tuple[str, ...], kept: Kept | None, fresh: float, wait: float):
+    def __init__(
+        self, me: Entry, founders: tuple[str, ...], kept: Kept | None, fresh: float, wait: float
+    ):
         self.me, self.founders, self.kept = me, tuple(sorted(set(founders)))[:MOST_FOUNDERS], kept
         self._fresh, self._wait = fresh, wait
         self._said: dict[str, _Said] = {}
@@ -82,9 +86,14 @@
             self._complete = now
         if highest and now - self._complete < self._wait:
             return None, None
-        entries = tuple(self.me if name == self.me.name else calls[name].entry for name in self.founders)
+        entries = tuple(
+            self.me if name == self.me.name else calls[name].entry for name in self.founders
+        )
         digest = _digest(entries)
-        accepts = [self.accept, *(calls[name].accept for name in self.founders if name != self.me.name)]
+        accepts = [
+            self.accept,
+            *(calls[name].accept for name in self.founders if name != self.me.name),
+        ]
         number = max(highest + 1, *(n if d == digest else n + 1 for n, d in accepts))
         keep = None
         if self.accept != (number, digest):
--- a/yewrill/views/inside.py
+++ b/yewrill/views/inside.py
@@ -33,16 +33,29 @@
     the view before. `crashed`: somebody may act by the view before who does not know of this one. `edges`:
     evidence of links, by whom they lead to."""
 
-    def __init__(self, view: View, rank: int, rules: Rules, rng: random.Random, counts: Counts, now: float, *,
-                 last: bytes | None = None, lease: float = NEVER, crashed: bool = True,
-                 edges: dict[Entry, Edge] | None = None):
+    def __init__(
+        self,
+        view: View,
+        rank: int,
+        rules: Rules,
+        rng: random.Random,
+        counts: Counts,
+        now: float,
+        *,
+        last: bytes | None = None,
+        lease: float = NEVER,
+        crashed: bool = True,
+        edges: dict[Entry, Edge] | None = None,
+    ):
         self.view, self.rank, self.rules, self._rng, self._counts = view, rank, rules, rng, counts
         self.interval = beat = rules.beat(len(view))
         self.last, self.lease, self.began, self._crashed = last, lease, now, crashed
         self.span = rules.lease_of(view)
         edges = edges or {}
-        self.edges = {other: edges.get(view.entries[other]) or Edge(view.entries[other], beat, now)
-                      for other in view.edges(rank)}
+        self.edges = {
+            other: edges.get(view.entries[other]) or Edge(view.entries[other], beat, now)
+            for other in view.edges(rank)
+        }
         self.registers: dict[int, Register] = {}
         self.leaving = False
         self.left: set[str] = set()  # those that leave by their own word
@@ -52,7 +65,9 @@
         self._roll = Rollcall(rank, len(view), now, beat, (1.0 + view.depth) * beat)
         self._turns = view.turns()
         self._sum = 0
-        self._fresh: dict[int, int] = {}  # registers that are to be passed on, in how many beats yet
+        self._fresh: dict[
+            int, int
+        ] = {}  # registers that are to be passed on, in how many beats yet
         self._push, self._pushed = True, NEVER
         self._planned, self._planned_at, self._word_at, self._opened_at = b"", now, now, NEVER
         self._unstable: dict[int, float] = {}  # since when
@@ -98,13 +113,17 @@
             ranks += self._rng.sample(more, min(MOST_BURST, len(more)))
         voting = self.vote.word.ballot > NONE
         return Beat(
-            view.number, view.digest, view.entries[self.rank].incarnation,
+            view.number,
+            view.digest,
+            view.entries[self.rank].incarnation,
             0 if push else int(1000 * self.interval),
-            min(3_600_000, int(1000 * (now - edge.heard))), self._sum,
+            min(3_600_000, int(1000 * (now - edge.heard))),
+            self._sum,
             wire_round(self._roll.round, len(view)) if send_round else None,
             tuple(self.registers[rank] for rank in ranks),
             wire_word(self.vote.word, len(view)) if voting else None,
-            self.news(now))
+            self.news(now),
+        )
 
     # -- what is seen
 
@@ -119,8 +138,13 @@
 
     def publish(self, bad: int | None = None, joiners: tuple[Entry, ...] | None = None) -> None:
         ours = self.registers.get(self.rank) or Register(self.rank)
-        say = Register(self.rank, ours.number + 1, ours.bad if bad is None else bad,
-                       ours.joiners if joiners is None else joiners, self.leaving)
+        say = Register(
+            self.rank,
+            ours.number + 1,
+            ours.bad if bad is None else bad,
+            ours.joiners if joiners is None else joiners,
+            self.leaving,
+        )
         if (say.bad, say.joiners, say.leaving) != (ours.bad, ours.joiners, ours.leaving):
             self._set(say)
 
@@ -153,8 +177,14 @@
         self.judged = out, unstable
         self._unstable = {rank: self._unstable.get(rank, now) for rank in unstable}
         out |= {rank for rank in unstable if rank in leaving}
-        if any(now - at < self.rules.patience for rank, at in self._unstable.items() if rank not in leaving) \
-                or len(view) - len(out - leaving) < view.majority:
+        if (
+            any(
+                now - at < self.rules.patience
+                for rank, at in self._unstable.items()
+                if rank not in leaving
+            )
+            or len(view) - len(out - leaving) < view.majority
+        ):
             return b"", False
         gone = out | leaving
         come = []
@@ -174,13 +204,16 @@
         value, quick = self._plan(now)
         if value != self._planned:
             self._planned, self._planned_at = value, now
-        unfinished = vote.word.ballot > NONE and (vote.accepted is not None or vote.word.accepted > 0)
+        unfinished = vote.word.ballot > NONE and (
+            vote.accepted is not None or vote.word.accepted > 0
+        )
         self.turn_at = float("inf")
         if not unfinished and (not value or now >= self.lease):
             return  # without a lease no majority hears us: what we would propose is of another time
         out = self.judged[0]
-        turn = rules.turn * [rank for rank in self._turns if rank not in out or rank == self.rank
-                             ].index(self.rank)
+        turn = rules.turn * [
+            rank for rank in self._turns if rank not in out or rank == self.rank
+        ].index(self.rank)
         at = self._planned_at + (rules.push if quick else rules.settle * self.interval)
         if vote.word.ballot > NONE:
             at = max(at, self._word_at + self.rules.ballot)
@@ -213,12 +246,17 @@
         size = len(self.view)
         before = self._roll.round
         if beat.round is not None and self._roll.merge(now, round_of(beat.round, size)):
-            self._push |= before[:2] != self._roll.round[:2]  # a new one goes round at once, bits by beats
+            self._push |= (
+                before[:2] != self._roll.round[:2]
+            )  # a new one goes round at once, bits by beats
             self._renew()
         changed = False
         for register in beat.registers:
-            if register.rank < size and register.rank != self.rank \
-                    and register.number > getattr(self.registers.get(register.rank), "number", -1):
+            if (
+                register.rank < size
+                and register.rank != self.rank
+                and register.number > getattr(self.registers.get(register.rank), "number", -1)
+            ):
                 self._set(register)
                 changed = True
         if edge is not None and beat.interval:
@@ -228,8 +266,12 @@
         if beat.word is not None:
             word = word_of(beat.word, size)
             ours = self.vote.word
-            if word.ballot == ours.ballot and ours.ballot[1] == self.rank and not ours.proposal \
-                    and now - self._opened_at > self.rules.ballot:
+            if (
+                word.ballot == ours.ballot
+                and ours.ballot[1] == self.rank
+                and not ours.proposal
+                and now - self._opened_at > self.rules.ballot
+            ):
                 return  # promises for what we wanted a while ago: a fresh ballot is to ask for them
             if self.vote.merge(word):
                 self._word_at = now
--- a/yewrill/views/machine.py
+++ b/yewrill/views/machine.py
@@ -51,12 +51,21 @@
 
 
 class Machine:
-    def __init__(self, me: Entry, founders: tuple[str, ...], kept: Kept | None, rng: random.Random,
-                 now: float, rules: Rules | None = None):
+    def __init__(
+        self,
+        me: Entry,
+        founders: tuple[str, ...],
+        kept: Kept | None,
+        rng: random.Random,
+        now: float,
+        rules: Rules | None = None,
+    ):
         self.me, self.founders, self.kept = me, tuple(founders), kept
         self.rules, self._rng = rules or Rules(), rng
         self.counts = Counts()
-        self.changes: list[tuple[float, View | None]] = []  # what was installed, until somebody takes it
+        self.changes: list[
+            tuple[float, View | None]
+        ] = []  # what was installed, until somebody takes it
         self.stopped = ""  # why for good: "left", "conflict"
         self._known: dict[str, Address] = {}
         self._waits: dict[str, tuple[int, float]] = {}  # how often it was taken out, and when last
@@ -77,8 +86,11 @@
     def view(self, now: float) -> View | None:
         """The view while we hold a lease in it."""
         inside = self._inside
-        return inside.view if inside is not None and now < inside.lease and not self._leaving \
-            and not self.stopped else None
+        return (
+            inside.view
+            if inside is not None and now < inside.lease and not self._leaving and not self.stopped
+            else None
+        )
 
     @property
     def installed(self) -> View | None:
@@ -135,8 +147,9 @@
         if full:
             self._beat_at = max(self._beat_at + self.interval, now + 0.5 * self.interval)
             inside.observe(now, tuple(c.entry for c in self._callers.values() if self._vouches(c)))
-            self._callers = {name: c for name, c in self._callers.items()
-                             if now - c.heard < 8.0 * self.interval}
+            self._callers = {
+                name: c for name, c in self._callers.items() if now - c.heard < 8.0 * self.interval
+            }
         if full or now >= inside.turn_at:
             inside.look(now)
             self._voted()
@@ -209,8 +222,9 @@
         """Be in no view; `seen`: the one we know of."""
         self._inside, self._seen, self._why_not, self._fetch = None, seen, "", None
         self._answers: dict[Address, float] = {}  # who answered our calls, when last
-        self._founding = Founding(self.me, self.founders, self.kept, max(2.0, 8.0 * self.rules.interval),
-                                  self.rules.lease)
+        self._founding = Founding(
+            self.me, self.founders, self.kept, max(2.0, 8.0 * self.rules.interval), self.rules.lease
+        )
 
     def _begin(self, view: View, rank: int, last: bytes | None) -> None:
         """Be in the next view. What we hold of a lease goes with us, if we know what changed."""
@@ -222,13 +236,25 @@
             for name in sorted(gone - before.left):
                 self._note_out(name)
             crashed = not gone <= before.left
-        self._inside = Inside(view, rank, self.rules, self._rng, self.counts, now, last=last, lease=lease,
-                              crashed=crashed, edges=edges)
+        self._inside = Inside(
+            view,
+            rank,
+            self.rules,
+            self._rng,
+            self.counts,
+            now,
+            last=last,
+            lease=lease,
+            crashed=crashed,
+            edges=edges,
+        )
         self._seen, self._fetch, self._why_not = None, None, ""
         self.counts.installed += 1
         self.changes.append((now, view))
         del self.changes[:-MOST_CHANGES]
-        self._callers = {n: c for n, c in self._callers.items() if view.find(n, c.entry.incarnation) is None}
+        self._callers = {
+            n: c for n, c in self._callers.items() if view.find(n, c.entry.incarnation) is None
+        }
         self._must_keep(view)
         self._beat_at = min(self._beat_at, now + 0.02)
         if self._leaving:
@@ -261,7 +287,11 @@
         times, at = self._waits.get(name, (0, NEVER))
         if not times:
             return 0.0
-        return at + min(self.rules.longest_wait, self.rules.first_wait * 2.0 ** (times - 1)) - self._now
+        return (
+            at
+            + min(self.rules.longest_wait, self.rules.first_wait * 2.0 ** (times - 1))
+            - self._now
+        )
 
     def _move(self, view: View, last: bytes | None) -> None:
         """A higher view is known: it is ours, or we are out of it."""
@@ -273,8 +303,13 @@
         elif self._inside is not None:
             self.counts.taken_out += 1
             self.changes.append((self._now, None))
-            self.me = Entry(self.me.name, self._rng.getrandbits(47) + 1, self.me.address, self.me.zone,
-                            self.me.can)
+            self.me = Entry(
+                self.me.name,
+                self._rng.getrandbits(47) + 1,
+                self.me.address,
+                self.me.zone,
+                self.me.can,
+            )
             self._outside(view)
         else:
             self._seen, self._fetch, self._why_not = view, None, ""
@@ -321,15 +356,26 @@
     # -- those that are in none
 
     def _vouches(self, c: Edge) -> bool:
-        near = c.calls >= 3 and max(self._now - c.heard, self._now - c.word) < 4.0 * self.interval \
+        near = (
+            c.calls >= 3
+            and max(self._now - c.heard, self._now - c.word) < 4.0 * self.interval
             and c.link.state(self._now, self.rules.threshold, self.rules.most_silence) == WELL
-        return near and self._wait(c.entry.name) <= 0.0 \
+        )
+        return (
+            near
+            and self._wait(c.entry.name) <= 0.0
             and self._inside.rank in self._inside.view.places(c.entry.name, c.entry.incarnation)
+        )
 
     def _answer(self, why_not: str, heard: int, number: int) -> Answer:
         view = self.installed
-        return Answer(view.number, view.digest, heard, why_not,
-                      self._inside.last if number == view.number - 1 else None)
+        return Answer(
+            view.number,
+            view.digest,
+            heard,
+            why_not,
+            self._inside.last if number == view.number - 1 else None,
+        )
 
     def _take_call(self, call: Call, address: Address) -> None:
         view, name = self.installed, call.entry.name
@@ -357,8 +403,11 @@
         rank = self.installed.rank_of(entry.name)
         if rank is not None:
             there = self.installed.entries[rank]
-            if there.incarnation != entry.incarnation and there.address != entry.address \
-                    and not any(rank in of for of in self._inside.judged):
+            if (
+                there.incarnation != entry.incarnation
+                and there.address != entry.address
+                and not any(rank in of for of in self._inside.judged)
+            ):
                 return "name is taken"
         wait = self._wait(entry.name)
         return f"was taken out, waits {wait:.0f} s" if wait > 0.0 else ""
@@ -368,8 +417,10 @@
         seen, known = self._seen, self._known
         to: dict[Address, None] = {}
         if seen is not None:
-            to = {seen.entries[rank].address: None
-                  for rank in seen.places(self.me.name, self.me.incarnation)}
+            to = {
+                seen.entries[rank].address: None
+                for rank in seen.places(self.me.name, self.me.incarnation)
+            }
         else:
             to = {known[name]: None for name in self._founding.founders if name in known}
         others = [known[name] for name in sorted(known) if name != self.me.name]
@@ -384,10 +435,16 @@
 
     def _call_to(self, address: Address, names: Kept | None = None) -> Call:
         ago, founding, seen = self._answers.get(address), self._founding, self._seen
-        return Call(self.me, 0 if seen is None else seen.number, int(1000 * self.interval),
-                    -1 if ago is None else min(3_600_000, int(1000 * (self._now - ago))),
-                    0 if founding.kept is None else founding.kept.number, founding.accept, names,
-                    founding.wants > 0)
+        return Call(
+            self.me,
+            0 if seen is None else seen.number,
+            int(1000 * self.interval),
+            -1 if ago is None else min(3_600_000, int(1000 * (self._now - ago))),
+            0 if founding.kept is None else founding.kept.number,
+            founding.accept,
+            names,
+            founding.wants > 0,
+        )
 
     def _found(self) -> None:
         if self._seen is not None:
@@ -434,12 +491,17 @@
         pages = (len(view) + PAGE - 1) // PAGE
         page = ask.page if ask.number == view.number else 0
         if page < pages:
-            entries = view.entries[page * PAGE:page * PAGE + PAGE]
+            entries = view.entries[page * PAGE : page * PAGE + PAGE]
             self._say(address, Page(view.number, view.digest, page, pages, entries))
 
     def _take_page(self, page: Page) -> None:
         fetch, ours = self._fetch, self.installed or self._seen
-        if fetch is None or page.number < fetch.number or ours is not None and page.number <= ours.number:
+        if (
+            fetch is None
+            or page.number < fetch.number
+            or ours is not None
+            and page.number <= ours.number
+        ):
             return
         if page.number != fetch.number or page.digest != fetch.digest:
             fetch.number, fetch.digest, fetch.got = page.number, page.digest, {}
@@ -454,4 +516,3 @@
             self._move(view, None)
         else:
             self._fetch = None
-
--- a/yewrill/views/rollcall.py
+++ b/yewrill/views/rollcall.py
@@ -30,7 +30,10 @@
     def __init__(self, rank: int, size: int, now: float, beat: float, patience: float):
         self._me, self._rank = 1 << rank, rank
         self.size, self.majority = size, size // 2 + 1
-        self._beat, self._patience = beat, patience  # a round lasts two beats, and up to patience for all
+        self._beat, self._patience = (
+            beat,
+            patience,
+        )  # a round lasts two beats, and up to patience for all
         self.frozen = False  # we accepted the next view: no more bits of ours in this one
         self.round = Round()
         self.since = now
--- a/yewrill/views/rules.py
+++ b/yewrill/views/rules.py
@@ -23,7 +23,9 @@
     most_silence: float = 10.0
     settle: float = 2.0  # beats for which a cut is the same before it is proposed
     turn: float = 0.3  # until the next may propose
-    ballot: float = 1.0  # for which a ballot counts that has no majority's promises; then another may begin
+    ballot: float = (
+        1.0  # for which a ballot counts that has no majority's promises; then another may begin
+    )
     patience: float = 10.0  # for those that are unstable
     push: float = 0.05  # between two messages out of turn along an edge
     first_wait: float = 2.0  # of one taken out, before it is vouched for
@@ -69,8 +71,10 @@
         self.calls += 1
 
     def bad(self, now: float, rules: Rules, least: float) -> bool:
-        return now - min(self.heard, self.word) >= least \
+        return (
+            now - min(self.heard, self.word) >= least
             and self.link.state(now, rules.threshold, rules.most_silence) != WELL
+        )
 
     def forgive(self, span: float) -> None:
         self.link.forgive(span)
--- a/yewrill/views/view.py
+++ b/yewrill/views/view.py
@@ -102,8 +102,12 @@
 
     @cached_property
     def _rings(self) -> list[list[tuple[int, int]]]:
-        return [sorted((_place(e.name, e.incarnation, ring), rank) for rank, e in enumerate(self.entries))
-                for ring in range(RINGS)]
+        return [
+            sorted(
+                (_place(e.name, e.incarnation, ring), rank) for rank, e in enumerate(self.entries)
+            )
+            for ring in range(RINGS)
+        ]
 
     def edges(self, rank: int) -> tuple[int, ...]:
         """The ranks of those that this one watches and is watched by, ascending."""
@@ -126,8 +130,12 @@
 
     def turns(self) -> list[int]:
         """The ranks in the order in which they may propose the next view."""
-        return sorted(range(len(self.entries)), key=lambda rank: hashlib.blake2b(
-            b"%d %d" % (self.number, rank), digest_size=8, person=b"view-turn").digest())
+        return sorted(
+            range(len(self.entries)),
+            key=lambda rank: hashlib.blake2b(
+                b"%d %d" % (self.number, rank), digest_size=8, person=b"view-turn"
+            ).digest(),
+        )
 
     def after(self, value: bytes) -> View:
         """The next view by an agreed change: who stays keeps its order, who comes is behind, by name. What
--- a/yewrill/windows.py
+++ b/yewrill/windows.py
@@ -15,7 +15,9 @@
 Item = TypeVar("Item")
 
 
-def window(ring: Sequence[Item], dispatchers: int, index: int, place: float) -> tuple[list[Item], list[Item]]:
+def window(
+    ring: Sequence[Item], dispatchers: int, index: int, place: float
+) -> tuple[list[Item], list[Item]]:
     """The items of a ring that are this dispatcher's, and the others; `index` is its number among all, or
     below 0 where none is told: then its place, 0 to 1, stands in."""
     size = len(ring)
--- a/yewrill/wire.py
+++ b/yewrill/wire.py
@@ -112,8 +112,14 @@
 def _inbound(m: dict[str, Any]) -> api.Event:
     get = m.get
     return api.JobArrived(
-        m["ticket"], m["tier_class"], m["client_deadline"], get("billing", 0), get("width", 1.0),
-        get("memory", 0.0), get("expected", 0.0), bool(get("again_by_client", False)),
+        m["ticket"],
+        m["tier_class"],
+        m["client_deadline"],
+        get("billing", 0),
+        get("width", 1.0),
+        get("memory", 0.0),
+        get("expected", 0.0),
+        bool(get("again_by_client", False)),
         key=str(get("route_key", "")),
     )
 
@@ -121,8 +127,13 @@
 def _ended(m: dict[str, Any]) -> api.Event:
     get = m.get
     return api.AttemptEnded(
-        m["ticket"], m["attempt"], m["worker"], _word(_OUTCOME, m["outcome"], "outcome"),
-        get("time_taken", 0.0), get("final", False), get("report"),
+        m["ticket"],
+        m["attempt"],
+        m["worker"],
+        _word(_OUTCOME, m["outcome"], "outcome"),
+        get("time_taken", 0.0),
+        get("final", False),
+        get("report"),
     )
 
 
@@ -138,8 +149,13 @@
 def _list(m: dict[str, Any]) -> api.Event:
     entries = [
         api.WorkerEntry(
-            r["worker"], r.get("zone", 0), r.get("machine", 0), r.get("group", 0),
-            _word(_STATE, r["phase"], "phase"), r.get("heft", 1.0), r.get("launched", 0.0),
+            r["worker"],
+            r.get("zone", 0),
+            r.get("machine", 0),
+            r.get("group", 0),
+            _word(_STATE, r["phase"], "phase"),
+            r.get("heft", 1.0),
+            r.get("launched", 0.0),
         )
         for r in m.get("rows", ())
     ]
@@ -151,7 +167,9 @@
     "ClosedAttempt": _ended,
     "Interim": _note,
     "Elapsed": lambda m: api.TimerFired(m["key_back"]),
-    "Pong": lambda m: api.ProbeEnded(m["worker"], _word(_OUTCOME, m["outcome"], "outcome"), m.get("report")),
+    "Pong": lambda m: api.ProbeEnded(
+        m["worker"], _word(_OUTCOME, m["outcome"], "outcome"), m.get("report")
+    ),
     "First": lambda m: api.AnswerStarted(m["ticket"], m["attempt"], m["worker"]),
     "Registry": _list,
     "TimedOutClient": lambda m: api.ClientLeft(m["ticket"]),
@@ -169,15 +187,30 @@
 
 _ENCODE = {
     api.Send: lambda i, a: {
-        "what": "Assign", "dispatcher_id": i, "ticket": a.job, "worker": a.worker, "patience": a.timeout,
+        "what": "Assign",
+        "dispatcher_id": i,
+        "ticket": a.job,
+        "worker": a.worker,
+        "patience": a.timeout,
     },
     api.Refuse: lambda i, a: {
-        "what": "TurnAway", "dispatcher_id": i, "ticket": a.job, "backoff": a.retry_after,
+        "what": "TurnAway",
+        "dispatcher_id": i,
+        "ticket": a.job,
+        "backoff": a.retry_after,
     },
     api.Fail: lambda i, a: {"what": "DropRequest", "dispatcher_id": i, "ticket": a.job},
-    api.Cancel: lambda i, a: {"what": "Cancel", "dispatcher_id": i, "ticket": a.job, "attempt": a.attempt},
+    api.Cancel: lambda i, a: {
+        "what": "Cancel",
+        "dispatcher_id": i,
+        "ticket": a.job,
+        "attempt": a.attempt,
+    },
     api.SetTimer: lambda i, a: {
-        "what": "SetTimer", "dispatcher_id": i, "key_back": a.token, "sleep_for": a.delay,
+        "what": "SetTimer",
+        "dispatcher_id": i,
+        "key_back": a.token,
+        "sleep_for": a.delay,
     },
     api.Probe: lambda i, a: {"what": "Touch", "dispatcher_id": i, "worker": a.worker},
     api.WatchList: lambda i, a: {"what": "KeepInformed", "dispatcher_id": i, "active": a.active},
--- a/yewrill/zones/commands.py
+++ b/yewrill/zones/commands.py
@@ -15,8 +15,14 @@
 
 from yewrill.doors import each, told
 
-_doors = click.option("--door", "doors", multiple=True, required=True, metavar="ADDRESS:PORT",
-                      help="A dispatcher's door; give one for each.")
+_doors = click.option(
+    "--door",
+    "doors",
+    multiple=True,
+    required=True,
+    metavar="ADDRESS:PORT",
+    help="A dispatcher's door; give one for each.",
+)
 
 
 @click.group()
@@ -37,11 +43,15 @@
     else:
         for door, said in plans.items():
             doubt = "  doubts itself" if said.get("own_doubt") else ""
-            click.echo(f"{door}  plan {said['plan']} {said.get('digest', '')}{doubt}  {said.get('why', '')}")
+            click.echo(
+                f"{door}  plan {said['plan']} {said.get('digest', '')}{doubt}  {said.get('why', '')}"
+            )
             for zone in said["zones"]:
                 order = f"  order: {zone['order']}" if zone["order"] else ""
-                click.echo(f"  {zone['zone']:<16} share {zone['share']:.2f}  by plan {zone['by_plan']:.2f}  "
-                           f"slots {zone['slots']:g}  lost {zone['lost']} of {zone['ended']}{order}")
+                click.echo(
+                    f"  {zone['zone']:<16} share {zone['share']:.2f}  by plan {zone['by_plan']:.2f}  "
+                    f"slots {zone['slots']:g}  lost {zone['lost']} of {zone['ended']}{order}"
+                )
         if len({said.get("digest", "") for said in plans.values()}) > 1:
             click.echo("the plans differ")
     _tell_failed(failed)
@@ -49,7 +59,9 @@
 
 def _order(order: str, zone: str, doors: tuple[str, ...]) -> None:
     answers = each(doors, "PUT", f"/_zones/{order}?name={quote(zone, safe='')}")
-    click.echo(f"{order} {zone}: {sum(status == 200 for _, status, _ in answers)} of {len(doors)} doors")
+    click.echo(
+        f"{order} {zone}: {sum(status == 200 for _, status, _ in answers)} of {len(doors)} doors"
+    )
     _tell_failed([answer for answer in answers if answer[1] != 200])
 
 
--- a/yewrill/zones/evidence.py
+++ b/yewrill/zones/evidence.py
@@ -9,7 +9,10 @@
 from collections.abc import Container, Mapping
 
 Counts = tuple[int, int]  # attempts ended, of these lost
-RECENT, NEWEST = 2.5, 8  # seconds back, and at most so many: where much is sent, a failure shows sooner
+RECENT, NEWEST = (
+    2.5,
+    8,
+)  # seconds back, and at most so many: where much is sent, a failure shows sooner
 LONG, MOST = 4.0, 64  # the same where little is sent
 
 
--- a/yewrill/zones/facade.py
+++ b/yewrill/zones/facade.py
@@ -23,11 +23,14 @@
 log = logging.getLogger("yewrill.zones")
 
 DUTY = "zones"
-HANGING = 1000.0  # ms without a start, from which on what waits at a worker that runs none of ours hangs
+HANGING = (
+    1000.0  # ms without a start, from which on what waits at a worker that runs none of ours hangs
+)
 
 # Endings that say nothing of a zone: the job came back unseen, or we held it back or gave it up ourselves.
-_TELL_NOTHING = frozenset({Ending.TURNED_AWAY, Ending.NOT_SENT, Ending.BROKEN, Ending.WORN_UNREACHED,
-                           Ending.WORN_RESET})
+_TELL_NOTHING = frozenset(
+    {Ending.TURNED_AWAY, Ending.NOT_SENT, Ending.BROKEN, Ending.WORN_UNREACHED, Ending.WORN_RESET}
+)
 
 
 class ZonesConfig(Protocol):
@@ -45,8 +48,9 @@
     name = "zones"
 
     def __init__(self, config: ZonesConfig):
-        self._rules = Rules(hold=config.hold, step=config.step, most_out=config.most_out,
-                            stands=config.stands)
+        self._rules = Rules(
+            hold=config.hold, step=config.step, most_out=config.most_out, stands=config.stands
+        )
         self._orders: dict[str, str] = {}  # zone: what operators have ordered here
         self._told: dict[int, float] = {}
         self._machine: Machine | None = None
@@ -82,8 +86,11 @@
         finally:
             machine.busy -= width
         zone = self._name(destination.zone)
-        if zone and ending not in _TELL_NOTHING and not (
-                ending is Ending.CALLED_OFF and step.operation.client_left):
+        if (
+            zone
+            and ending not in _TELL_NOTHING
+            and not (ending is Ending.CALLED_OFF and step.operation.client_left)
+        ):
             if machine.note(trio.current_time(), zone, ending is not Ending.SERVED):
                 self._woken.set()
         return ending, result
@@ -102,7 +109,11 @@
     def _regions(self) -> Mapping[str, str]:
         """The region of each zone that has members, as these tell it."""
         link = self._members.link
-        claims = [] if link is None else [link.machine.me, *(m.claim for m in link.machine.listed.values())]
+        claims = (
+            []
+            if link is None
+            else [link.machine.me, *(m.claim for m in link.machine.listed.values())]
+        )
         return {claim.zone: claim.region for claim in claims if claim.region}
 
     # -- agreement
@@ -114,7 +125,11 @@
         me = link.machine.me
         rng = random.Random(random.SystemRandom().getrandbits(64))
         machine = Machine(me.name, me.zone, self._others, rng, trio.current_time(), self._rules)
-        machine.capacity, machine.hanging, machine.regions = self._capacity, self._hanging, self._regions
+        machine.capacity, machine.hanging, machine.regions = (
+            self._capacity,
+            self._hanging,
+            self._regions,
+        )
         self._machine = machine
         link.cargo[ZONES] = self._receive
         task_status.started()
@@ -131,10 +146,16 @@
                 await link.say(ZONES, machine.tick(now))
             if machine.plan.version != version:
                 version = machine.plan.version
-                log.info("zones plan=%d %s (%s)", version[0], " ".join(
-                    f"{zone}={entry.share / WHOLE:g}{':back' if entry.back else ''}"
-                    for zone, entry in sorted(machine.plan.zones.items()))
-                    or "all well", machine.why)
+                log.info(
+                    "zones plan=%d %s (%s)",
+                    version[0],
+                    " ".join(
+                        f"{zone}={entry.share / WHOLE:g}{':back' if entry.back else ''}"
+                        for zone, entry in sorted(machine.plan.zones.items())
+                    )
+                    or "all well",
+                    machine.why,
+                )
             self._tell_module()
 
     def _take_ownership(self, machine: Machine, now: float) -> None:
@@ -159,13 +180,24 @@
         if self._views is not None:
             view = self._views.view()
             if view is not None and self._list[0] is not view:
-                self._list = view, [Member(e.name, e.address, e.zone, True) for e in view.entries
-                                    if e.name != link.machine.me.name]
+                self._list = (
+                    view,
+                    [
+                        Member(e.name, e.address, e.zone, True)
+                        for e in view.entries
+                        if e.name != link.machine.me.name
+                    ],
+                )
             return self._list[1]
         if self._list[0] is not link.news:
-            self._list = link.news, [
-                Member(name, m.claim.address, m.claim.zone, m.claim.state != DEAD)
-                for name, m in link.machine.listed.items() if m.claim.state != LEFT]
+            self._list = (
+                link.news,
+                [
+                    Member(name, m.claim.address, m.claim.zone, m.claim.state != DEAD)
+                    for name, m in link.machine.listed.items()
+                    if m.claim.state != LEFT
+                ],
+            )
         return self._list[1]
 
     def _tell_module(self) -> None:
@@ -197,6 +229,7 @@
             self._orders[zone] = order
             self._woken.set()
             return True
+
         return call
 
     def status(self) -> dict[str, Any]:
@@ -207,17 +240,29 @@
         shares, counts = self.shares(), machine.evidence.counts(trio.current_time())
         capacity = self._capacity()
         return {
-            "plan": machine.plan.version[0], "digest": machine.plan.version[1], "why": machine.why,
+            "plan": machine.plan.version[0],
+            "digest": machine.plan.version[1],
+            "why": machine.why,
             "own_doubt": machine.doubts(),
             "regions": self._by_region(shares, capacity),
-            "zones": [{
-                "zone": name, "share": shares.get(name, 1.0), "by_plan": machine.plan.share(name) / WHOLE,
-                "order": self._orders.get(name, ""), "slots": round(capacity.get(name, 0.0), 1),
-                "ended": counts.get(name, (0, 0))[0], "lost": counts.get(name, (0, 0))[1],
-            } for name in self._pool.places.zones],
-            **self.figures()}
-
-    def _by_region(self, shares: Mapping[str, float], capacity: Mapping[str, float]) -> dict[str, float]:
+            "zones": [
+                {
+                    "zone": name,
+                    "share": shares.get(name, 1.0),
+                    "by_plan": machine.plan.share(name) / WHOLE,
+                    "order": self._orders.get(name, ""),
+                    "slots": round(capacity.get(name, 0.0), 1),
+                    "ended": counts.get(name, (0, 0))[0],
+                    "lost": counts.get(name, (0, 0))[1],
+                }
+                for name in self._pool.places.zones
+            ],
+            **self.figures(),
+        }
+
+    def _by_region(
+        self, shares: Mapping[str, float], capacity: Mapping[str, float]
+    ) -> dict[str, float]:
         """The share of each region's normal work that goes there, over its zones."""
         whole: dict[str, list[float]] = {}
         for zone, region in self._regions().items():
@@ -225,13 +270,23 @@
             parts = whole.setdefault(region, [0.0, 0.0])
             parts[0] += slots * shares.get(zone, 1.0)
             parts[1] += slots
-        return {region: round(part / total, 3) for region, (part, total) in sorted(whole.items()) if total}
+        return {
+            region: round(part / total, 3)
+            for region, (part, total) in sorted(whole.items())
+            if total
+        }
 
     def figures(self) -> dict[str, int]:
         """Counts since the start, by the names operators see."""
         if self._machine is None:
             return {}
         counted = self._machine.counted
-        return {"zones_polls": counted.polls, "zones_plans_made": counted.made,
-                "zones_plans_taken": counted.taken, "zones_plans_refused": counted.refused,
-                "zones_malformed": counted.malformed, "zones_late": counted.late, "zones_cut": counted.cut}
+        return {
+            "zones_polls": counted.polls,
+            "zones_plans_made": counted.made,
+            "zones_plans_taken": counted.taken,
+            "zones_plans_refused": counted.refused,
+            "zones_malformed": counted.malformed,
+            "zones_late": counted.late,
+            "zones_cut": counted.cut,
+        }
--- a/yewrill/zones/format.py
+++ b/yewrill/zones/format.py
@@ -30,7 +30,9 @@
     doubt: bool = False  # the teller doubts itself: its counts are not to be used
     busy: float = 0.0  # slots of its running work
     counts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
-    dark: tuple[str, ...] = ()  # zones none of whose members it hears; of a HINT, the one that fails
+    dark: tuple[
+        str, ...
+    ] = ()  # zones none of whose members it hears; of a HINT, the one that fails
     plan: Plan | None = None
 
 
@@ -67,14 +69,25 @@
             read = {}
             for zone, ended, lost in counts:
                 read[text(zone)] = (whole(ended, MOST_COUNT), whole(lost, ended))
-            return Said(TELL, version, whole(asked, 2**32), bool(doubt), busy, read,
-                        tuple(text(zone) for zone in dark[:MOST_ZONES]))
+            return Said(
+                TELL,
+                version,
+                whole(asked, 2**32),
+                bool(doubt),
+                busy,
+                read,
+                tuple(text(zone) for zone in dark[:MOST_ZONES]),
+            )
         if kind == PLAN:
             if len(rest[0]) > MOST_ZONES:
                 raise ValueError("zones")
-            plan = Plan(version[0], {
-                text(zone): Entry(whole(share, WHOLE - 1), whole(strikes, 64, 1), back is True)
-                for zone, share, strikes, back in rest[0]})
+            plan = Plan(
+                version[0],
+                {
+                    text(zone): Entry(whole(share, WHOLE - 1), whole(strikes, 64, 1), back is True)
+                    for zone, share, strikes, back in rest[0]
+                },
+            )
             if plan.version != version:
                 raise ValueError("digest")
             return Said(PLAN, version, plan=plan)
@@ -82,7 +95,12 @@
             return Said(HINT, version, dark=(text(rest[0]),))
         if kind in (DIGEST, GET):
             return Said(kind, version)
-    except (ValueError, TypeError, IndexError, msgpack.exceptions.UnpackException, RecursionError) as error:
+    except (
+        ValueError,
+        TypeError,
+        IndexError,
+        msgpack.exceptions.UnpackException,
+        RecursionError,
+    ) as error:
         raise Malformed(str(error)) from error
     raise Malformed("kind")
-
--- a/yewrill/zones/machine.py
+++ b/yewrill/zones/machine.py
@@ -132,7 +132,9 @@
     def __post_init__(self) -> None:
         self.plan = Plan()
         self.evidence = Evidence()
-        self.capacity: Callable[[], Mapping[str, float]] = dict  # slots of each zone, as discovery lists it
+        self.capacity: Callable[[], Mapping[str, float]] = (
+            dict  # slots of each zone, as discovery lists it
+        )
         self.regions: Callable[[], Mapping[str, str]] = dict  # of zones, where members tell theirs
         # Attempts that are out at workers which start nothing of ours.
         self.hanging: Callable[[], Mapping[str, int]] = dict
@@ -143,7 +145,9 @@
         self._hinted: dict[str, float] = {}  # zones that others see fail, since we have it
         self.why = ""  # the last change of the plan, in plain words
         self._since: dict[str, float] = {}  # when each zone's entry came into force here
-        self._struck: dict[str, tuple[int, float]] = {}  # strikes of zones well again, and since when
+        self._struck: dict[
+            str, tuple[int, float]
+        ] = {}  # strikes of zones well again, and since when
         self._verdicts: dict[str, Verdict] = {}
         self._before = self.plan  # the one that ours took the place of
         self._pending: dict[str, _Rumour] = {}  # by who told them first
@@ -194,7 +198,11 @@
     def note(self, now: float, zone: str, lost: bool) -> bool:
         """One attempt in a zone has ended. Whether that is cause to look at once."""
         self.evidence.note(now, zone, lost)
-        if not lost or self._poll is not None or now - self._polled.get(zone, -1e9) < self.rules.wait:
+        if (
+            not lost
+            or self._poll is not None
+            or now - self._polled.get(zone, -1e9) < self.rules.wait
+        ):
             return False
         entry = self.plan.zones.get(zone)
         if entry is not None and not entry.back:
@@ -235,7 +243,10 @@
         if now >= self._digest_at and living:
             self._digest_at = now + 1.0
             asleep = 5 if now < self._doubt_until else 1
-            out += [(m.address, pack(Said(DIGEST, self.plan.version))) for m in self._draw(living, asleep)]
+            out += [
+                (m.address, pack(Said(DIGEST, self.plan.version)))
+                for m in self._draw(living, asleep)
+            ]
         for zone, (_, since) in list(self._struck.items()):
             if now - since > self.rules.longest:
                 del self._struck[zone]
@@ -282,18 +293,30 @@
         if not self.doubts():
             for zone, (ended, lost) in self._counts().items():
                 entry = self.plan.zones.get(zone)
-                if ended >= 2 and lost >= rules.bad * ended and (
-                        entry is None or entry.back or (entry.share and lost >= rules.dead * ended)):
+                if (
+                    ended >= 2
+                    and lost >= rules.bad * ended
+                    and (
+                        entry is None or entry.back or (entry.share and lost >= rules.dead * ended)
+                    )
+                ):
                     zones.append(zone)
-            zones += [zone for zone, entry in self.plan.zones.items()
-                      if self.now - self._since[zone] > self._span(entry) + self._turn]
+            zones += [
+                zone
+                for zone, entry in self.plan.zones.items()
+                if self.now - self._since[zone] > self._span(entry) + self._turn
+            ]
         for rumour in self._pending.values():
             heard |= {*rumour.plan.differs(self.plan)}
         heard |= {zone for zone, at in self._hinted.items() if self.now - at < 1.0}
         own = [zone for zone in zones if self.now - self._polled.get(zone, -1e9) >= rules.wait]
         # Polls for hearsay are what a liar can cost: few in all, and less often of each zone.
         if not own and self.now - self._hearsay_at >= rules.wait:
-            own = [zone for zone in heard if self.now - self._polled.get(zone, -1e9) >= 2.0 * rules.wait]
+            own = [
+                zone
+                for zone in heard
+                if self.now - self._polled.get(zone, -1e9) >= 2.0 * rules.wait
+            ]
             if own:
                 self._hearsay_at = self.now
         return min(own, key=lambda z: (self._polled.get(z, -1e9), z), default=None)
@@ -327,9 +350,14 @@
         """What the numbers say. Each member's count for no more than `most` attempts. Members that hold the
         version `held` or a newer one have judged already, and forgotten what they counted."""
         rules, zone = self.rules, poll.zone
-        told = [(said.counts.get(zone, (0, 0)),
-                 zone in said.dark or (held is not None and said.version >= held))
-                for said in poll.answers.values() if not said.doubt]
+        told = [
+            (
+                said.counts.get(zone, (0, 0)),
+                zone in said.dark or (held is not None and said.version >= held),
+            )
+            for said in poll.answers.values()
+            if not said.doubt
+        ]
         if self.zone != zone and not self.doubts():
             told.append((self._counts().get(zone, (0, 0)), zone in self._look()[2]))
         ended = lost = 0.0
@@ -347,13 +375,15 @@
         needed = rules.few if zone in self.plan.zones else rules.least
         enough = share >= rules.bad and ended >= needed if ended and held is None else True
         fails = 2 * failing > voters and failing >= min(rules.voters, outside // 2 + 1) and enough
-        return Verdict(self.now, fails, ended >= rules.least and share <= rules.good, share, int(ended))
+        return Verdict(
+            self.now, fails, ended >= rules.least and share <= rules.good, share, int(ended)
+        )
 
     def _fleet_busy(self, poll: _Poll) -> float:
         """Slots of the whole fleet's running work: the middle half of what is told, times the members."""
         told = sorted([self.busy, *(said.busy for said in poll.answers.values())])
         cut = len(told) // 4
-        middle = told[cut:len(told) - cut]
+        middle = told[cut : len(told) - cut]
         return sum(middle) / len(middle) * (1 + len(self._look()[1]))
 
     # -- plans
@@ -362,7 +392,9 @@
         zone, entry = poll.zone, self.plan.zones.get(poll.zone)
         if self.doubts():
             return
-        if self.owner:  # it is the owner's to make plans, and it may see less of this zone than we do
+        if (
+            self.owner
+        ):  # it is the owner's to make plans, and it may see less of this zone than we do
             if verdict.fails and (zone not in self.plan.zones or self.plan.zones[zone].back):
                 hint = pack(Said(HINT, self.plan.version, dark=(zone,)))
                 out += [(m.address, hint) for m in self._look()[1] if m.name == self.owner]
@@ -379,8 +411,12 @@
             if share < 0.9 * WHOLE and (entry is None or share < entry.share):
                 why = f"{zone}: {verdict.lost:.0%} of {verdict.ended} attempts lost"
                 self._make(zone, Entry(share, strikes), why)
-        elif entry is not None and self.now - since > self._span(entry) and not verdict.fails \
-                and (entry.back or zone not in self._look()[2]):
+        elif (
+            entry is not None
+            and self.now - since > self._span(entry)
+            and not verdict.fails
+            and (entry.back or zone not in self._look()[2])
+        ):
             if not entry.back:
                 trial = replace(entry, share=max(STEPS[0], entry.share), back=True)
                 self._make(zone, trial, f"{zone}: tried again")
@@ -389,7 +425,9 @@
                 self._make(zone, up(entry), why)
 
     def _least(self, poll: _Poll) -> int:
-        return least_share(self.plan, poll.zone, self.capacity(), self._fleet_busy(poll), self.rules.most_out)
+        return least_share(
+            self.plan, poll.zone, self.capacity(), self._fleet_busy(poll), self.rules.most_out
+        )
 
     def _make(self, zone: str, entry: Entry | None, why: str) -> None:
         self.counted.made += 1
@@ -413,7 +451,9 @@
 
     def _consider(self, poll: _Poll) -> None:
         """Take the highest newer plan that a majority holds, or that our own polls bear out."""
-        highest_first = sorted(self._pending.items(), key=lambda item: item[1].plan.version, reverse=True)
+        highest_first = sorted(
+            self._pending.items(), key=lambda item: item[1].plan.version, reverse=True
+        )
         for sender, rumour in highest_first:
             plan = rumour.plan
             held = sum(said.version >= plan.version for said in poll.answers.values())
@@ -437,8 +477,12 @@
         """Whether what we know supports a zone's new entry. None: not known yet; a text: nothing against."""
         new, old = plan.zones.get(zone), self.plan.zones.get(zone)
         if plan.number == self.plan.number:  # made beside ours, from figures a little different
-            if new is not None and old is not None and new.back == old.back \
-                    and abs(new.share - old.share) <= TOLERANCE:
+            if (
+                new is not None
+                and old is not None
+                and new.back == old.back
+                and abs(new.share - old.share) <= TOLERANCE
+            ):
                 return True
             if new == self._before.zones.get(zone):
                 return "the last step undone, to be made again after the other's"
@@ -450,8 +494,11 @@
             if verdict.well:
                 return False
             fails = verdict.fails or (poll.zone == zone and self._judge(poll, plan.version).fails)
-            return (fails and new.share >= self._least(poll) - TOLERANCE
-                    and (old is None or old.back or new.share < old.share)) or None
+            return (
+                fails
+                and new.share >= self._least(poll) - TOLERANCE
+                and (old is None or old.back or new.share < old.share)
+            ) or None
         if old is None or verdict.fails:
             return False
         right = new == up(old) if old.back else new is not None and new.share <= max(STEPS[0], was)
@@ -492,8 +539,12 @@
             self._hear(said.plan, sender, out)
         if said.version < mine and said.kind in (DIGEST, ASK):
             out.append((address, pack(Said(PLAN, mine, plan=self.plan))))
-        elif said.version > mine and said.kind != PLAN and said.version not in self._refused \
-                and all(r.plan.version != said.version for r in self._pending.values()):
+        elif (
+            said.version > mine
+            and said.kind != PLAN
+            and said.version not in self._refused
+            and all(r.plan.version != said.version for r in self._pending.values())
+        ):
             out.append((address, pack(Said(GET, mine))))
         return out
 
@@ -502,16 +553,24 @@
         for zone, (ended, lost) in self._counts().items():
             part = min(1.0, 1000 / ended)
             counts[zone] = (int(ended * part), int(lost * part))
-        return Said(TELL, self.plan.version, number, self.doubts(), float(self.busy), counts,
-                    tuple(sorted(self._look()[2])))
+        return Said(
+            TELL,
+            self.plan.version,
+            number,
+            self.doubts(),
+            float(self.busy),
+            counts,
+            tuple(sorted(self._look()[2])),
+        )
 
     def _hear(self, plan: Plan, sender: str, out: list[Out]) -> None:
         """A plan that is newer than ours goes on as a rumour at once, and is taken once it is borne out."""
         if plan.version <= self.plan.version or plan.version in self._refused:
             return
         # Of an owner that has been followed by another, or heard of already.
-        if plan.number < self.epoch * EPOCH or any(r.plan.version == plan.version
-                                                   for r in self._pending.values()):
+        if plan.number < self.epoch * EPOCH or any(
+            r.plan.version == plan.version for r in self._pending.values()
+        ):
             return
         if sender in self._pending or len(self._pending) >= MOST_PENDING:
             return
--- a/yewrill/zones/plan.py
+++ b/yewrill/zones/plan.py
@@ -23,7 +23,9 @@
     """One zone. A zone without an entry is well."""
 
     share: int  # thousandths
-    strikes: int = 1  # how often it was left in short order: each doubles the time until it is tried
+    strikes: int = (
+        1  # how often it was left in short order: each doubles the time until it is tried
+    )
     back: bool = False  # it is being taken back, step by step
 
 
@@ -38,8 +40,12 @@
     def version(self) -> tuple[int, str]:
         if not self.number:
             return 0, ""
-        text = ";".join(f"{name}={e.share},{e.strikes},{e.back}" for name, e in sorted(self.zones.items()))
-        return self.number, hashlib.blake2b(f"{self.number};{text}".encode(), digest_size=8).hexdigest()
+        text = ";".join(
+            f"{name}={e.share},{e.strikes},{e.back}" for name, e in sorted(self.zones.items())
+        )
+        return self.number, hashlib.blake2b(
+            f"{self.number};{text}".encode(), digest_size=8
+        ).hexdigest()
 
     def share(self, zone: str) -> int:
         entry = self.zones.get(zone)
@@ -47,7 +53,9 @@
 
     def differs(self, other: Plan) -> list[str]:
         """The zones whose entries are not the same in both."""
-        return sorted(z for z in {*self.zones, *other.zones} if self.zones.get(z) != other.zones.get(z))
+        return sorted(
+            z for z in {*self.zones, *other.zones} if self.zones.get(z) != other.zones.get(z)
+        )
 
     def with_entry(self, zone: str, entry: Entry | None, epoch: int = 0) -> Plan:
         """The next plan, with another entry of a zone; None: it is well. `epoch`: its maker's grant."""
@@ -63,7 +71,9 @@
     return replace(entry, share=step, back=True) if step < WHOLE else None
 
 
-def least_share(plan: Plan, zone: str, capacity: Mapping[str, float], busy: float, most_out: float) -> int:
+def least_share(
+    plan: Plan, zone: str, capacity: Mapping[str, float], busy: float, most_out: float
+) -> int:
     """The least share at which a zone may be left, in thousandths: what the guards leave there.
 
     `busy`: slots of the whole fleet's running work. What the others can't carry stays, even where nothing
