--- a/benchmarks/fleet_count.py
+++ b/benchmarks/fleet_count.py
@@ -58,7 +58,7 @@
         waits = [r[6] for r in rows if r[6] >= WAITED]
         by_worker = Counter(r[1] for r in rows)
         spread = max(by_worker.values()) * len(by_worker) / len(rows)
-        cold = sum(0 < launched.get(r[1], 0) and r[0] - launched[r[1]] < COLD for r in rows)
+        cold = sum(launched.get(r[1], 0) > 0 and r[0] - launched[r[1]] < COLD for r in rows)
         never = sum(r[6] < 0 and r[2] != "SERVED" for r in rows)
         grounds = {why: n for (at, why), n in sorted(refusals.items()) if at == second}
         print(
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -261,7 +261,7 @@
         at = 0.0
         for failures in range(40):
             pause = poolconfig.pause_after(failures, callers, rng.random())
-            assert poolconfig.RETRY <= pause and pause + poolconfig.ANEW < TOLD
+            assert pause >= poolconfig.RETRY and pause + poolconfig.ANEW < TOLD
             calls.append(at := at + pause)
     for second in range(20):
         assert sum(second <= at < second + 1 for at in calls) <= a_second
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -1,5 +1,6 @@
 """Agreed views: one list at a time, by all that can talk both ways, in a network that loses and stops."""
 
+import contextlib
 import random
 
 import pytest
@@ -211,10 +212,8 @@
     data[at % len(data)] = byte
     for tried in (bytes(data), bytes(data[: at % len(data)]), bytes(data[1:])):
         for take in (unpack, lambda b: Parts().take("m", b)):
-            try:
+            with contextlib.suppress(Malformed):
                 take(tried)
-            except Malformed:
-                pass
 
 
 @given(st.integers(1, 300).flatmap(lambda n: st.tuples(st.just(n), st.integers(0, 2**n - 1))))
--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -19,7 +19,7 @@
 
 @click.group()
 def main() -> None:
-    """yewrill dispatches jobs to destinations, for one application or on the platform."""
+    """Dispatch jobs to workers, for one application or on the platform."""
 
 
 def _fail(error: Exception) -> None:
--- a/yewrill/logs.py
+++ b/yewrill/logs.py
@@ -109,7 +109,7 @@
 
 
 def _fields(logger: Any, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
-    """structlog's processor: a standard record as an event and its keys."""
+    """Turn a standard record, as a processor of structlog, into an event and its keys."""
     record: logging.LogRecord = event["_record"]
     name, keys, rest = record.parsed
     for key in ("operation", "trace", "thinned", "lost"):
--- a/yewrill/ownership/facade.py
+++ b/yewrill/ownership/facade.py
@@ -67,7 +67,7 @@
         self._members = members
         self._views = around.hooks.get("views")
         if self._views is not None:
-            self._views.watch(lambda: self._woken.set())
+            self._views.watch(lambda: self._woken.set())  # noqa: PLW0108 - the event is replaced
 
     # -- what other parts use
 
--- a/yewrill/store/engine.py
+++ b/yewrill/store/engine.py
@@ -318,8 +318,7 @@
 
     def _enter(self, segment: Segment, op: fmt.Op, seq: int, offset: int) -> None:
         size = fmt.op_size(op.key, len(op.value))
-        if seq < segment.lowest:
-            segment.lowest = seq
+        segment.lowest = min(segment.lowest, seq)
         self._forget(op.key, seq)
         if op.kind == fmt.PUT:
             self._index[op.key] = ENTRY.pack(segment.slot, offset, len(op.value), seq, op.expires)
--- a/yewrill/store/recovery.py
+++ b/yewrill/store/recovery.py
@@ -410,10 +410,8 @@
     get = table.get
     highest, lowest = opening.highest, segment.lowest
     for kind, key, size, offset, seq, expires in ops:
-        if seq < lowest:
-            lowest = seq
-        if seq > highest:
-            highest = seq
+        lowest = min(lowest, seq)
+        highest = max(highest, seq)
         old = get(key)
         if old is not None and unpack(old)[3] >= seq:
             continue
--- a/yewrill/tracing/export.py
+++ b/yewrill/tracing/export.py
@@ -228,15 +228,16 @@
             return False
         self._unsent = records
         await self._write(records)
-        if self._collector is not None and not await self._deliver(
-            records, patient=self.spool is None
+        if (
+            self._collector is not None
+            and not await self._deliver(records, patient=self.spool is None)
+            and self.spool is not None
         ):
-            if self.spool is not None:
-                await self._spool(records)
-                self._unsent = []
-                await trio.sleep(self._target.rules.first)
-                self._wake.set()
-                return False
+            await self._spool(records)
+            self._unsent = []
+            await trio.sleep(self._target.rules.first)
+            self._wake.set()
+            return False
         self._unsent = []
         return True
 
--- a/yewrill/zones/facade.py
+++ b/yewrill/zones/facade.py
@@ -64,7 +64,7 @@
         self._members, self._decisions, self._pool = members, around.decisions, around.pool
         self._views = around.hooks.get("views")
         if self._views is not None:
-            self._views.watch(lambda: self._woken.set())
+            self._views.watch(lambda: self._woken.set())  # noqa: PLW0108 - the event is replaced
         self._ownership = around.hooks.get("ownership")
         if self._ownership is not None:
             self._ownership.want(DUTY)
@@ -90,9 +90,8 @@
             zone
             and ending not in _TELL_NOTHING
             and not (ending is Ending.CALLED_OFF and step.operation.client_left)
-        ):
-            if machine.note(trio.current_time(), zone, ending is not Ending.SERVED):
-                self._woken.set()
+        ) and machine.note(trio.current_time(), zone, ending is not Ending.SERVED):
+            self._woken.set()
         return ending, result
 
     def _name(self, position: int) -> str:
