Members: the transport without its socket, and its traffic by kind of message

Cause: budgets and limits on intake lived with the socket, so no virtual network had them. Change: Transport takes bytes and the time and gives datagrams; Link carries them.

--- a/yewrill/members/facade.py
+++ b/yewrill/members/facade.py
@@ -127,14 +127,24 @@
             }
             for name, m in sorted(machine.listed.items())
         ]
-        return {"members": listed, "own_doubt": machine.health.doubt, **self.figures()}
+        traffic = link.transport.traffic
+        sent = {
+            kind: {"datagrams": count, "bytes": traffic.size[kind]}
+            for kind, count in sorted(traffic.count.items())
+        }
+        return {
+            "members": listed,
+            "own_doubt": machine.health.doubt,
+            "sent": sent,
+            **self.figures(),
+        }
 
     def figures(self) -> dict[str, int]:
         """Counts since the start, by the names operators see."""
         link = self._link
         if link is None:
             return {}
-        counts = link.machine.counts
+        counts, transport = link.machine.counts, link.transport
         return {
             "members_suspected": counts.suspected,
             "members_refuted": counts.refuted,
@@ -142,9 +152,9 @@
             "members_died": counts.died,
             "members_late": counts.late,
             "members_alone": counts.alone,
-            "members_bytes_out": link.sent,
-            "members_bytes_in": link.received,
-            "members_held_back": link.held_back,
-            "members_flooded": link.flooded,
-            "members_refused": sum(link.refused.values()),
+            "members_bytes_out": transport.sent,
+            "members_bytes_in": transport.received,
+            "members_held_back": transport.held_back,
+            "members_flooded": transport.flooded,
+            "members_refused": sum(transport.refused.values()) + sum(link.errors.values()),
         }
