--- a/yewrill/members/link.py
+++ b/yewrill/members/link.py
@@ -38,6 +38,7 @@
         self._changed = trio.Event()
         self.news = trio.Event()  # set and replaced when the list has changed
         self.errors: Counter[str] = Counter()  # of the socket
+        self._muted = False
 
     @property
     def machine(self) -> Machine:
@@ -78,7 +79,13 @@
         """Send messages of the membership."""
         await self._write(self.transport.send(trio.current_time(), out))
 
+    def mute(self) -> None:
+        """Send nothing from here on, not even that we leave: as one that is killed."""
+        self._muted = True
+
     async def _write(self, datagrams: list[Datagram]) -> None:
+        if self._muted:
+            return
         for address, data in datagrams:
             try:
                 await self._socket.sendto(data, address)
