Views that form at size: joiners in one order, vouched for to those who propose; budgets with priorities

Cause, each shown in virtual time with the real budgets: (1) each observer vouched for the 8 joiners that it happened to hear first, so at 60 none had 6 of 8; registers with joiners went over every edge three times; the proposal of a vote and the last change went along all edges on every message; all joiners called at one pace, so founders were overrun. (2) heartbeats were held back like gossip, and a well peer sends more than its share of what was looked at. Change: an order of joiners that all compute alike, calls paced by it, vouchers told to the next proposers only, tallies in place of proposals to who holds them, joins gathered for 1.2 s, beats by the root of the size, lists compared by digest, priorities in the sending budget. Beats and answers have new trailing fields, which older ones ignore. Founding waits for the lease of the size that was kept.

--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -29,7 +29,7 @@
     wire_word,
     word_of,
 )
-from yewrill.views.inside import Inside
+from yewrill.views.inside import MISSED, Inside
 from yewrill.views.machine import MOST_CALLERS, Machine
 from yewrill.views.rollcall import Rollcall, Round
 from yewrill.views.rules import Counts, Rules
@@ -640,15 +640,13 @@
 
 def test_registers_that_were_lost_are_told_again():
     one, other = inside_of(0), inside_of(1)
+    one.publish(0b10)
     for at in range(1, 5):  # nothing of it arrives
-        one.observe(
-            float(at), (Entry("new", 9, ("h", 9)),) if at == 1 else one.registers[0].joiners
-        )
-        one.beats(float(at))
-    for at in range(5, 9):
-        other.merge(float(at), one.beats(float(at))[0][1], one.edges[1])
-        one.merge(float(at), other.beats(float(at))[0][1], one.edges[1])
-    assert other.registers == one.registers and one.registers[0].joiners
+        assert one.beats(float(at))[0][1].registers == (one.registers[0],) * (at == 1)
+    for at in range(5, 5 + MISSED + 1):
+        other.merge(float(at), one.beats(float(at))[0][1], one.edges[1], "m0000")
+        one.merge(float(at), other.beats(float(at))[0][1], one.edges[1], "m0001")
+    assert other.registers == one.registers and one.registers[0].bad
 
 
 def test_what_leaves_no_majority_is_not_proposed():
@@ -676,7 +674,7 @@
     beat = Beat(
         4, inside.view.digest, 1, 0, 0, 0, None, (), wire_word(word._replace(promised=0b111), 3)
     )
-    inside.merge(inside.span + (9.0 if late else 1.1), beat, None)
+    inside.merge(inside.span + (9.0 if late else 1.1), beat, None, "m0001")
     assert bool(inside.vote.word.proposal) != late
 
 
--- a/yewrill/lab/scale/virtual.py
+++ b/yewrill/lab/scale/virtual.py
@@ -19,7 +19,7 @@
 from yewrill.members.machine import Rules as MembersRules
 from yewrill.members.parts import Malformed
 from yewrill.members.transport import HEADERS, VIEWS, Address, Datagram, Transport
-from yewrill.views.format import Parts, pack
+from yewrill.views.format import Parts, pack, priority_of
 from yewrill.views.machine import Machine as ViewsMachine
 from yewrill.views.machine import Step
 from yewrill.views.rules import Rules as ViewsRules
@@ -189,11 +189,12 @@
     def _say(self, node: Node, step: Step) -> list[Datagram]:
         if step.keep is not None:
             node.disk = step.keep
-        out: list[tuple[Address, bytes]] = []
+        datagrams: list[Datagram] = []
         for address, message in step.messages:
             node.number += 1
-            out += [(address, part) for part in pack(message, node.number)]
-        return node.transport.say(self.now, VIEWS, out)
+            parts = [(address, part) for part in pack(message, node.number)]
+            datagrams += node.transport.say(self.now, VIEWS, parts, priority_of(message))
+        return datagrams
 
     def _settle(self, node: Node) -> None:
         if node.transport.take_changes(self.now) or node.known < 0:
--- a/yewrill/members/evidence.py
+++ b/yewrill/members/evidence.py
@@ -160,6 +160,10 @@
         """A third says that it and the peer hear each other."""
         self._relayed = max(now, self._relayed)
 
+    def forget_relays(self) -> None:
+        """Nobody is heard, so no third either: what one said of the peer is of another time."""
+        self._relayed = -math.inf
+
     def hears(self, now: float, threshold: float = 8.0, most_silence: float = 10.0) -> bool:
         """Whether we hear the peer."""
         return self._in.silence(now) <= most_silence and self._in.phi(now) < threshold
--- a/yewrill/members/link.py
+++ b/yewrill/members/link.py
@@ -11,6 +11,7 @@
 import trio
 
 from yewrill.members.format import MOST, Codec
+from yewrill.members.intake import Priority
 from yewrill.members.machine import STATES, Machine, Out
 from yewrill.members.transport import (
     OWNERSHIP,
@@ -71,9 +72,14 @@
             await self._write(self.transport.receive(trio.current_time(), data, source[:2]))
             self._changed.set()
 
-    async def say(self, part: int, out: list[tuple[Address, bytes]]) -> None:
+    async def say(
+        self,
+        part: int,
+        out: list[tuple[Address, bytes]],
+        priority: Priority = Priority.HEARTBEAT,
+    ) -> None:
         """Send what another part has to say to members."""
-        await self._write(self.transport.say(trio.current_time(), part, out))
+        await self._write(self.transport.say(trio.current_time(), part, out, priority))
 
     async def send(self, out: list[Out]) -> None:
         """Send messages of the membership."""
--- a/yewrill/members/machine.py
+++ b/yewrill/members/machine.py
@@ -40,6 +40,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import itertools
 import math
 import random
@@ -52,6 +53,9 @@
 ALIVE, SUSPECT, DEAD, LEFT = 0, 1, 2, 3
 STATES = ("alive", "suspect", "dead", "left")
 MOST_PURSUED = 64  # at a time
+DIGEST_BYTES = 7
+FEW = 8  # members; with fewer known, the one that told of others is asked for more
+SEEDS_AT_ONCE = 2  # asked in an interval by one that knows nobody yet
 MOST_INCARNATION = 2**48  # a claim above is nonsense: nobody could refute for ever
 
 
@@ -68,7 +72,9 @@
     forget: float = 600.0  # after which one dead or gone is no longer listed
     dead_every: int = 5  # intervals between two pings to dead ones
     most_members: int = 4096  # listed; news of more is dropped
-    stretch: int = 12  # entries of the list in one answer
+    stretch: int = 32  # entries of the list in one answer, as far as a datagram holds them
+    quiet: float = 10.0  # intervals without a change, after which lists are compared more rarely
+    quiet_every: int = 4  # intervals between two comparisons then
     doubt: float = 2.5  # phi at which silence is worth a word: on a quiet network, two questions
     death: float = 8.0  # phi, ours and others' together
     words: int = 3  # others' findings that a death needs, where so many are heard
@@ -99,7 +105,7 @@
     cargo, which is another part's."""
 
     kind: str
-    number: int = 0
+    number: int = 0  # list: the digest of the asker's list, 0: none
     about: str = ""  # help: whom to ping; ping: whom it is meant for; list: after which name
     news: tuple[Claim, ...] = ()
     cargo: bytes = b""
@@ -210,6 +216,9 @@
         self._next = self.now  # when the next probe is due
         self._next_call = self.now + self.rules.interval * self.rules.dead_every
         self._left = False
+        self._digest = 0  # not known
+        self._compared = 0  # intervals
+        self._changed_at = self.now
         self._tell(self.me)
 
     # -- what others see
@@ -312,13 +321,17 @@
         if alone := self.alone:  # whoever hears nobody goes on being heard
             scale = 1.0
             out += [(c.address, self._message("ping", 0, c)) for c in self.rng.sample(living, 2)]
-        self.counts.alone += alone and not self._was_alone
+        if alone and not self._was_alone:
+            self.counts.alone += 1
+            for m in self.listed.values():
+                if m.link is not None:
+                    m.link.forget_relays()
         self._was_alone = alone
         self._next = self.now + rules.interval * scale
         if not living:
-            for address in self.seeds:
-                if address != self.me.address:
-                    out += [(address, self._message("ping")), (address, Message("list"))]
+            seeds = [address for address in self.seeds if address != self.me.address]
+            for address in self.rng.sample(seeds, min(SEEDS_AT_ONCE, len(seeds))):
+                out += [(address, self._message("ping")), (address, Message("list"))]
             return
         target = self._target(living)
         self._number += 1
@@ -331,8 +344,28 @@
         )
         claim = self.listed[target].claim
         out.append((claim.address, self._message("ping", self._number, claim)))
+        self._compare(living, out)
+
+    def _compare(self, living: list[Claim], out: list[Out]) -> None:
+        """Ask one for a stretch of its list, which it sends if that is not the same as ours."""
+        rules = self.rules
+        self._compared += 1
+        quiet = self.now - self._changed_at > rules.quiet * rules.interval
+        if quiet and self._compared % rules.quiet_every:
+            return
         after = self.rng.choice([self.me.name, *self.listed])
-        out.append((self.rng.choice(living).address, Message("list", about=after)))
+        question = Message("list", self.digest, about=after)
+        out.append((self.rng.choice(living).address, question))
+
+    @property
+    def digest(self) -> int:
+        """Of the list of those that live: the same wherever that is. Never 0, which is none."""
+        if self._digest == 0:
+            claims = sorted((c.name, c.incarnation) for c in self.members())
+            text = "".join(f"{name} {incarnation}\n" for name, incarnation in claims)
+            found = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES, person=b"ym-list")
+            self._digest = int.from_bytes(found.digest(), "big") | 1
+        return self._digest
 
     def _call(self, out: list[Out]) -> None:
         """Ping one that is lost: so halves meet again, and those that hear us see that we live. So many
@@ -562,8 +595,8 @@
             self._hear_from(m, kind == "ack" and self._target_of(message, sender) == sender, out)
         for claim in message.news:
             self._hear(claim, sender, address, out)
-        if kind == "news" and len(self.listed) > known:  # with names new to us: the next stretch
-            out.append((address, Message("list", about=message.news[-1].name)))
+        if kind == "news" and len(self.listed) > known:
+            self._ask_on(message.news[-1].name, address, out)
         if kind == "ping" and about in ("", self.me.name):
             out.append((address, self._message("ack", message.number)))
         elif kind == "ack":
@@ -575,10 +608,17 @@
                 self._word(self.listed[about], pursuit, sender, sender)
         elif kind == "help" and about in self.listed:
             self._help(message, address, out)
-        elif kind == "list":
+        elif kind == "list" and message.number != self.digest:
             out.append((address, Message("news", news=tuple(self._stretch(about)))))
         return out
 
+    def _ask_on(self, after: str, address: tuple[str, int], out: list[Out]) -> None:
+        """A stretch held names new to us: ask for the next one, of anybody rather than always of the same."""
+        living = list(self._living())
+        if len(living) > FEW:
+            address = self.rng.choice(living).address
+        out.append((address, Message("list", self.digest, about=after)))
+
     def _target_of(self, message: Message, sender: str) -> str:
         """Of whom an ack says that it lives."""
         if message.about:
@@ -711,6 +751,7 @@
 
     def _rise(self, over: int) -> None:
         self.me = replace(self.me, incarnation=min(over + 1, MOST_INCARNATION))
+        self._digest = 0
         self._tell(self.me)
 
     def _set(self, claim: Claim) -> None:
@@ -722,6 +763,8 @@
             was in (DEAD, LEFT) and claim.state == ALIVE
         ):  # whatever it was before, it is judged anew
             m.asked, m.link, m.through, m.deaf = 0.0, None, "", False
+        if was is None or (m.claim.incarnation, was) != (claim.incarnation, claim.state):
+            self._digest, self._changed_at = 0, self.now
         m.claim, m.since, m.suspicion = claim, self.now, None
         if claim.state != SUSPECT:
             m.pursuit = None
--- a/yewrill/members/transport.py
+++ b/yewrill/members/transport.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from yewrill.members.format import Codec, Refused, Stranger
-from yewrill.members.intake import Bucket, Intake
+from yewrill.members.intake import Bucket, Intake, Priority
 from yewrill.members.machine import Claim, Machine, Message, Out
 
 Address = tuple[str, int]
@@ -22,6 +22,11 @@
 
 ZONES, OWNERSHIP, VIEWS = 1, 2, 3  # whose payload it is: its first byte
 PART_NAMES = {ZONES: "zones", OWNERSHIP: "ownership", VIEWS: "views"}
+PRIORITIES = {
+    "news": Priority.GOSSIP,
+    "hello": Priority.GOSSIP,
+    "list": Priority.LIST,
+}  # others: heartbeats
 HEADERS = 28  # bytes of IPv4 and UDP round a datagram
 FORGET_INTERVAL = 30.0  # seconds between two looks at what may be forgotten
 
@@ -58,6 +63,7 @@
         self.handlers: dict[int, Payload] = {}  # who takes payloads, by their first byte
         self.refused: Counter[str] = Counter()  # datagrams that were not taken, by the reason
         self.sent = self.received = self.held_back = 0
+        self.held_back_by: Counter[Priority] = Counter()
         self.traffic = Traffic()
 
     @property
@@ -80,7 +86,8 @@
         try:
             sender, message = self.codec.decode(data, source)
         except Stranger as stranger:
-            return self._within_budget(now, "hello", source, self.codec.hello(source, stranger.run))
+            hello = self.codec.hello(source, stranger.run)
+            return self._within_budget(now, "hello", Priority.GOSSIP, source, hello)
         except Refused as refused:
             self.refused[str(refused)] += 1
             return []
@@ -104,27 +111,37 @@
         """Do what is due; the datagrams to be sent for it."""
         return self.send(now, self.machine.tick(now)) if now >= self.machine.due else []
 
-    def say(self, now: float, part: int, out: list[tuple[Address, bytes]]) -> list[Datagram]:
+    def say(
+        self,
+        now: float,
+        part: int,
+        out: list[tuple[Address, bytes]],
+        priority: Priority = Priority.HEARTBEAT,
+    ) -> list[Datagram]:
         """Datagrams with what another part has to say to members."""
-        mark = bytes((part,))
-        return self.send(
-            now, [(address, Message("cargo", cargo=mark + data)) for address, data in out]
-        )
+        mark, kind = bytes((part,)), PART_NAMES[part]
+        datagrams: list[Datagram] = []
+        for address, payload in out:
+            data = self.codec.encode(Message("cargo", cargo=mark + payload), address)
+            datagrams += self._within_budget(now, kind, priority, address, data)
+        return datagrams
 
     def send(self, now: float, out: list[Out]) -> list[Datagram]:
-        """Messages as datagrams, as far as the budget allows."""
+        """The membership's messages as datagrams, as far as the budget allows."""
         datagrams: list[Datagram] = []
         for address, message in out:
             kind = PART_NAMES[message.cargo[0]] if message.kind == "cargo" else message.kind
+            priority = PRIORITIES.get(message.kind, Priority.HEARTBEAT)
             data = self.codec.encode(message, address)
-            datagrams += self._within_budget(now, kind, address, data)
+            datagrams += self._within_budget(now, kind, priority, address, data)
         return datagrams
 
     def _within_budget(
-        self, now: float, kind: str, address: Address, data: bytes
+        self, now: float, kind: str, priority: Priority, address: Address, data: bytes
     ) -> list[Datagram]:
-        if not self._budget.take(now, len(data)):
+        if not self._budget.take(now, len(data), priority.value):
             self.held_back += 1
+            self.held_back_by[priority] += 1
             return []
         self.sent += len(data)
         self.traffic.note(kind, len(data))
--- a/yewrill/views/facade.py
+++ b/yewrill/views/facade.py
@@ -18,7 +18,7 @@
 from yewrill.members.parts import Malformed
 from yewrill.store import Batch, Store, StoreError
 from yewrill.views.config import ViewsConfig
-from yewrill.views.format import Parts, pack
+from yewrill.views.format import Parts, pack, priority_of
 from yewrill.views.machine import Machine, Step
 from yewrill.views.view import Entry, Kept, View
 
@@ -152,7 +152,8 @@
                 return
         for address, message in step.messages:
             self._number += 1
-            await link.say(VIEWS, [(address, part) for part in pack(message, self._number)])
+            parts = [(address, part) for part in pack(message, self._number)]
+            await link.say(VIEWS, parts, priority_of(message))
 
     def _tell(self, machine: Machine) -> None:
         installed = machine.installed
--- a/yewrill/views/format.py
+++ b/yewrill/views/format.py
@@ -4,17 +4,21 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
 
+from yewrill.members.intake import Priority
 from yewrill.members.parts import Joiner, Malformed, cut
 from yewrill.views.agreement import MOST_TRY, Word
 from yewrill.views.rollcall import Round
 from yewrill.views.view import MOST_ENTRIES, MOST_VALUE, Entry, Kept, Number, Rank
 
-MOST_JOINERS = 8  # in one register
+VERSION = 2  # of what beats may hold
+MOST_JOINERS = 8  # in one register; version 2 has none there
+MOST_VOUCHED = 16  # joiners that one member vouches for at a time
 PAGE = 10  # entries of a view's list in one page
 
 Digest = Annotated[bytes, Meta(min_length=8, max_length=8)]
@@ -55,9 +59,20 @@
     accepted: Bits
 
 
+class WireTally(Struct, frozen=True, array_like=True):
+    """A word to one that holds its proposal already: `proposal` is the digest of that."""
+
+    ballot: Ballot
+    promised: Bits
+    accepted: Bits
+    proposal: Digest
+
+
 class Beat(Struct, frozen=True, array_like=True, tag=1):
     """Along an edge. `interval`: ms to the next beat, 0 where this is one out of turn. `heard`: ms since the
-    other was heard last. `sum`: over all registers. `last`: the change that led to this view, while fresh."""
+    other was heard last. `sum`: over all registers. `last`: the change that led to this view, while the other
+    may not have it. `version`: what the sender understands; 1 ignores all that follows. `vouched`: joiners
+    that the sender vouches for, in a message to those that propose; it may come along no edge."""
 
     number: Number
     digest: Digest
@@ -69,6 +84,9 @@
     registers: Annotated[tuple[Register, ...], Meta(max_length=64)] = ()
     word: WireWord | None = None
     last: Value | None = None
+    version: Annotated[int, Meta(ge=0, lt=256)] = 1
+    tally: WireTally | None = None
+    vouched: Annotated[tuple[Entry, ...], Meta(max_length=MOST_VOUCHED)] | None = None
 
 
 class Call(Struct, frozen=True, array_like=True, tag=2):
@@ -86,13 +104,14 @@
 
 
 class Answer(Struct, frozen=True, array_like=True, tag=3):
-    """To a call, by a member of a view."""
+    """To a call, by a member of a view. `size`: how many are in it, 0: not told."""
 
     number: Number
     digest: Digest
     heard: Millis
     why_not: Annotated[str, Meta(max_length=64)] = ""
     last: Value | None = None
+    size: Annotated[int, Meta(ge=0, le=MOST_ENTRIES)] = 0
 
 
 class Ask(Struct, frozen=True, array_like=True, tag=4):
@@ -115,6 +134,13 @@
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
+def priority_of(message: Message) -> Priority:
+    """How it stands to others where the sender's budget is short."""
+    if isinstance(message, Beat | Call):
+        return Priority.HEARTBEAT
+    return Priority.GOSSIP if isinstance(message, Answer) else Priority.LIST
+
+
 def pack(message: Message, number: int = 0) -> list[bytes]:
     """A message as cargo, in parts of under 999 bytes; `number` tells a sender's messages apart."""
     return cut(_ENCODER.encode(message), number)
@@ -201,3 +227,27 @@
         w.best_value if w.proposal is None else w.proposal,
         whole_of(w.accepted, size),
     )
+
+
+def digest_of(proposal: bytes) -> bytes:
+    """What stands for a proposal in a tally."""
+    return hashlib.blake2b(proposal, digest_size=8, person=b"view-proposal").digest()
+
+
+def wire_tally(w: Word, size: int) -> WireTally:
+    """A word of which the other holds the proposal."""
+    return WireTally(
+        w.ballot, bits(w.promised, size), bits(w.accepted, size), digest_of(w.proposal)
+    )
+
+
+def tally_of(tally: WireTally, ours: Word, size: int) -> Word | None:
+    """The word that a tally stands for; None where ours is not of that proposal. Raises Malformed."""
+    if (
+        tally.ballot != ours.ballot
+        or not ours.proposal
+        or digest_of(ours.proposal) != tally.proposal
+    ):
+        return None
+    promised, accepted = whole_of(tally.promised, size), whole_of(tally.accepted, size)
+    return ours._replace(promised=promised, accepted=accepted)
--- a/yewrill/views/founding.py
+++ b/yewrill/views/founding.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -33,11 +34,16 @@
 
 
 class Founding:
-    """One process's part, while it is in no view. `fresh`: seconds for which a call counts; `wait`: seconds
-    that all must be there, where views were kept: leases of then have run out."""
+    """One process's part, while it is in no view. `fresh`: seconds for which a call counts; `wait(size)`:
+    seconds that all must be there, where views were kept: leases of then have run out."""
 
     def __init__(
-        self, me: Entry, founders: tuple[str, ...], kept: Kept | None, fresh: float, wait: float
+        self,
+        me: Entry,
+        founders: tuple[str, ...],
+        kept: Kept | None,
+        fresh: float,
+        wait: Callable[[int], float],
     ):
         self.me, self.founders, self.kept = me, tuple(sorted(set(founders)))[:MOST_FOUNDERS], kept
         self._fresh, self._wait = fresh, wait
@@ -84,7 +90,7 @@
             return None, None
         if self._complete < 0.0:
             self._complete = now
-        if highest and now - self._complete < self._wait:
+        if highest and now - self._complete < self._wait(len(self._lists[highest].names)):
             return None, None
         entries = tuple(
             self.me if name == self.me.name else calls[name].entry for name in self.founders
--- a/yewrill/views/inside.py
+++ b/yewrill/views/inside.py
@@ -7,27 +7,53 @@
 from __future__ import annotations
 
 import random
+from enum import Flag, auto
+from itertools import islice
+from typing import NamedTuple
 from zlib import crc32
 
-from yewrill.views.agreement import NONE, Agreement
+from yewrill.views.agreement import NONE, Agreement, Word
 from yewrill.views.cut import judge, marks
 from yewrill.views.format import (
-    MOST_JOINERS,
+    MOST_VOUCHED,
+    VERSION,
     Beat,
     Register,
     round_of,
+    tally_of,
     wire_round,
+    wire_tally,
     wire_word,
     word_of,
 )
 from yewrill.views.rollcall import Rollcall
 from yewrill.views.rules import NEVER, Counts, Edge, Rules
 from yewrill.views.view import Entry, View, value_of
+from yewrill.views.vouching import Vouching
 
 MOST_BURST = 16  # registers in one beat
+MISSED = 3  # beats with other registers than ours, after which the other is sent all of them again
+# Beats in which the last change goes to some new ones only, and their part
+LAST_BEATS, LAST_SHARE = 1.0, 0.3
 Ranks = frozenset[int]
 
 
+class Plan(NamedTuple):
+    """A change that is asked for: b"" for none; whether it is by leaves, or by joiners only."""
+
+    value: bytes = b""
+    leaves_only: bool = False
+    joins_only: bool = False
+
+
+class Push(Flag):
+    """What there is to say out of turn."""
+
+    REGISTERS = auto()
+    VOTE = auto()
+    ROUND = auto()
+
+
 class Inside:
     """`last`: the change that led to this view, if we saw it. `lease`: until when one holds that we have from
     the view before. `crashed`: somebody may act by the view before who does not know of this one. `edges`:
@@ -50,12 +76,14 @@
         self.view, self.rank, self.rules, self._rng, self._counts = view, rank, rules, rng, counts
         self.interval = beat = rules.beat(len(view))
         self.last, self.lease, self.began, self._crashed = last, lease, now, crashed
-        self.span = rules.lease_of(view)
+        self.span = rules.lease_for(len(view))
         edges = edges or {}
         self.edges = {
             other: edges.get(view.entries[other]) or Edge(view.entries[other], beat, now)
             for other in view.edges(rank)
         }
+        for edge in self.edges.values():
+            edge.begin_view()
         self.registers: dict[int, Register] = {}
         self.leaving = False
         self.left: set[str] = set()  # those that leave by their own word
@@ -65,16 +93,16 @@
         self._roll = Rollcall(rank, len(view), now, beat, (1.0 + view.depth) * beat)
         self._turns = view.turns()
         self._sum = 0
-        self._fresh: dict[
-            int, int
-        ] = {}  # registers that are to be passed on, in how many beats yet
-        self._push, self._pushed = True, NEVER
-        self._planned, self._planned_at, self._word_at, self._opened_at = b"", now, now, NEVER
+        self.vouching = Vouching(view, rank, beat)
+        self._push, self._pushed = Push.VOTE, NEVER
+        self._push_gap = rules.push_gap(len(view))
+        self._planned, self._planned_at, self._wanted_at = b"", now, now
+        self._word_at, self._opened_at = now, NEVER
         self._unstable: dict[int, float] = {}  # since when
 
     @property
     def due(self) -> float:
-        return min(self.turn_at, self._pushed + self.rules.push if self._push else float("inf"))
+        return min(self.turn_at, self._pushed + self._push_gap if self._push else float("inf"))
 
     def forgive(self, span: float, now: float) -> None:
         """We were away for so long: what we see and want is of before."""
@@ -86,32 +114,80 @@
 
     def pushes(self, now: float) -> list[tuple[Edge, Beat]]:
         """What has changed, if it is time to say so."""
-        if not self._push or now < self._pushed + self.rules.push:
+        if not self._push or now < self._pushed + self._push_gap:
             return []
-        self._pushed, self._push = now, False
-        return [(edge, self._message(edge, now, push=True)) for edge in self.edges.values()]
+        reasons, self._push = self._push, Push(0)
+        self._pushed = now
+        edges, most = list(self.edges.values()), self.rules.push_edges
+        # What is long goes to a few at a time: by the next turn the others may have it from elsewhere.
+        long = [edge for edge in edges if self._has_long_for(edge)]
+        if len(long) > most:
+            long = self._rng.sample(long, most)
+            self._push = Push.REGISTERS
+        short = [edge for edge in edges if not self._has_long_for(edge)]
+        if Push.VOTE in reasons or Push.ROUND in reasons:
+            short = self._rng.sample(short, min(most, len(short)))
+        else:
+            short = []
+        return [(edge, self._message(edge, now, push=True)) for edge in (*long, *short)]
+
+    def _has_long_for(self, edge: Edge) -> bool:
+        """Whether the other may lack registers, or the proposal of the vote."""
+        word = self.vote.word
+        lacks = word.proposal != b"" and edge.proposal != (word.ballot, word.proposal)
+        return lacks or bool(self._registers_for(edge))
 
     def beats(self, now: float) -> list[tuple[Edge, Beat]]:
-        out = [(edge, self._message(edge, now)) for edge in self.edges.values()]
-        for rank, times in list(self._fresh.items())[:MOST_BURST]:
-            if times <= 1:
-                del self._fresh[rank]
-            else:
-                self._fresh[rank] = times - 1
-        return out
+        """The heartbeat along each edge."""
+        return [(edge, self._message(edge, now)) for edge in self.edges.values()]
 
-    def news(self, now: float) -> bytes | None:
-        """The change that led here, while some may not have heard of it."""
-        return self.last if now - self.began < self.span else None
+    def _registers_for(self, edge: Edge) -> list[Register]:
+        """Registers that the other may not have, as many as fit one message."""
+        lacking = (r for r in self.registers.values() if edge.has.get(r.rank, -1) < r.number)
+        return list(islice(lacking, MOST_BURST))
+
+    def vouches(self, now: float) -> list[tuple[Entry, Beat]]:
+        """Whom we vouch for, to those that are next to propose."""
+        entries = self.vouching.to_tell(now, self.judged[0])
+        if not entries:
+            return []
+        beat = Beat(
+            self.view.number,
+            self.view.digest,
+            self.view.entries[self.rank].incarnation,
+            0,
+            -1,
+            self._sum,
+            version=VERSION,
+            vouched=self.vouching.ours,
+        )
+        return [(entry, beat) for entry in entries]
+
+    def _last_for(self, edge: Edge, now: float) -> bytes | None:
+        """The change that led here, while the other may not have heard of it. At first only to some that are
+        new: who was in the view before decides by the vote."""
+        age = now - self.began
+        if edge.number >= self.view.number or age > self.span:
+            return None
+        if age < LAST_BEATS * self.interval:
+            new = edge.number < self.view.number - 1
+            return self.last if new and self._rng.random() < LAST_SHARE else None
+        return self.last
 
     def _message(self, edge: Edge, now: float, push: bool = False) -> Beat:
         view = self.view
         send_round = push or len(view) <= self.rules.small or self._rng.random() < 0.5
-        ranks = list(self._fresh)[:MOST_BURST]
-        if edge.other_sum >= 2 and not push and len(self.registers) > len(ranks):
-            more = [rank for rank in self.registers if rank not in self._fresh]
-            ranks += self._rng.sample(more, min(MOST_BURST, len(more)))
-        voting = self.vote.word.ballot > NONE
+        if edge.other_sum >= MISSED and not push:
+            edge.other_sum, edge.has = 0, {}
+        registers = self._registers_for(edge)
+        edge.has |= {register.rank: register.number for register in registers}
+        word = self.vote.word
+        tally = wire = None
+        if word.ballot > NONE:
+            if edge.version >= VERSION and edge.proposal == (word.ballot, word.proposal):
+                tally = wire_tally(word, len(view))
+            else:
+                wire = wire_word(word, len(view))
         return Beat(
             view.number,
             view.digest,
@@ -120,32 +196,36 @@
             min(3_600_000, int(1000 * (now - edge.heard))),
             self._sum,
             wire_round(self._roll.round, len(view)) if send_round else None,
-            tuple(self.registers[rank] for rank in ranks),
-            wire_word(self.vote.word, len(view)) if voting else None,
-            self.news(now),
+            tuple(registers),
+            wire,
+            self._last_for(edge, now),
+            VERSION,
+            tally,
         )
 
     # -- what is seen
 
     def observe(self, now: float, joiners: tuple[Entry, ...]) -> None:
         """Bring our register up to date: the edges, and those that we vouch for."""
-        least, bad = self.rules.silence * self.interval / self.rules.interval, 0
+        least = max(self.rules.silence, self.rules.silent_beats * self.interval)
+        bad = 0
         for place, edge in enumerate(self.edges.values()):
             bad |= edge.bad(now, self.rules, least) << place
         if 4 * bad.bit_count() > 3 * len(self.edges) and len(self.edges) > 1:
             bad = 0  # it is us: one cause, not eight
-        self.publish(bad, joiners[:MOST_JOINERS])
+        self.publish(bad)
+        self.vouching.take(self.rank, joiners[:MOST_VOUCHED])
 
-    def publish(self, bad: int | None = None, joiners: tuple[Entry, ...] | None = None) -> None:
+    def publish(self, bad: int | None = None) -> None:
+        """Change our register, where there is something new in it. `bad`: bits of our edges."""
         ours = self.registers.get(self.rank) or Register(self.rank)
         say = Register(
             self.rank,
             ours.number + 1,
             ours.bad if bad is None else bad,
-            ours.joiners if joiners is None else joiners,
-            self.leaving,
+            leaving=self.leaving,
         )
-        if (say.bad, say.joiners, say.leaving) != (ours.bad, ours.joiners, ours.leaving):
+        if (say.bad, say.leaving) != (ours.bad, ours.leaving):
             self._set(say)
 
     def _set(self, register: Register) -> None:
@@ -154,18 +234,18 @@
             if r is not None:
                 self._sum ^= crc32(b"%d %d" % (r.rank, r.number))
         self.registers[register.rank] = register
-        self._fresh[register.rank] = 3
-        self._push = True
+        self._push |= Push.REGISTERS
         if register.leaving:
             self.left.add(self.view.entries[register.rank].name)
 
-    def _plan(self, now: float) -> tuple[bytes, bool]:
-        """The change that the registers ask for, b"" for none, and whether it is by leaves only."""
-        if not self.registers:
+    def _plan(self, now: float) -> Plan:
+        """The change that the registers ask for."""
+        vouched = self.vouching.vouchers()
+        if not self.registers and not vouched:
             self._unstable.clear()
-            return b"", False
+            return Plan()
         view, edges = self.view, self.view.edges
-        alerts, vouched, leaving = [], {}, set()
+        alerts, leaving = [], set()
         for rank, r in self.registers.items():
             if r.bad:
                 alerts += [(rank, s) for place, s in enumerate(edges(rank)) if r.bad >> place & 1]
@@ -185,7 +265,7 @@
             )
             or len(view) - len(out - leaving) < view.majority
         ):
-            return b"", False
+            return Plan()
         gone = out | leaving
         come = []
         for entry, by in vouched.items():
@@ -194,14 +274,18 @@
             if (rank is None or rank in gone) and len(by & set(places)) >= marks(len(places))[1]:
                 come.append(entry)
         if not gone and not come:
-            return b"", False
-        return value_of(set(gone), come), bool(leaving) and not out - leaving and not come
+            return Plan()
+        leaves = bool(leaving) and not out - leaving and not come
+        return Plan(value_of(set(gone), come), leaves, not gone)
 
     def look(self, now: float) -> None:
         """Propose the next view, if it is our turn."""
         rules, vote = self.rules, self.vote
         self.judged = frozenset(), frozenset()
-        value, quick = self._plan(now)
+        plan = self._plan(now)
+        value = plan.value
+        if value and not self._planned:
+            self._wanted_at = now
         if value != self._planned:
             self._planned, self._planned_at = value, now
         unfinished = vote.word.ballot > NONE and (
@@ -214,7 +298,12 @@
         turn = rules.turn * [
             rank for rank in self._turns if rank not in out or rank == self.rank
         ].index(self.rank)
-        at = self._planned_at + (rules.push if quick else rules.settle * self.interval)
+        if plan.joins_only:
+            at = self._wanted_at + rules.gather
+        else:
+            at = self._planned_at + (
+                rules.push if plan.leaves_only else rules.settle * self.interval
+            )
         if vote.word.ballot > NONE:
             at = max(at, self._word_at + self.rules.ballot)
         if self._crashed or not self._roll.complete:
@@ -229,54 +318,76 @@
             self.turn_at = max(at + turn, now + 0.01)
 
     def _voted(self) -> None:
-        self._push = True
+        self._push |= Push.VOTE
         self._roll.frozen |= self.vote.accepted is not None
 
     def roll(self, now: float) -> None:
         """Open the next round, if it is time."""
         if self._roll.tick(now):
-            self._push = True
+            self._push |= Push.ROUND
             self._renew()
 
     def _renew(self) -> None:
         self.lease = max(self.lease, self._roll.proved + self.span)
 
-    def merge(self, now: float, beat: Beat, edge: Edge | None) -> None:
+    def merge(self, now: float, beat: Beat, edge: Edge | None, sender: str) -> None:
         """Take what another of the same view knows. Raises Malformed and ValueError."""
         size = len(self.view)
         before = self._roll.round
         if beat.round is not None and self._roll.merge(now, round_of(beat.round, size)):
-            self._push |= (
-                before[:2] != self._roll.round[:2]
-            )  # a new one goes round at once, bits by beats
+            if before[:2] != self._roll.round[:2]:  # a new one goes round at once, bits by beats
+                self._push |= Push.ROUND
             self._renew()
+        self._take_registers(now, beat, edge)
+        if beat.vouched is not None:
+            rank = self.view.find(sender, beat.incarnation)
+            if rank is not None and self.vouching.take(rank, beat.vouched):
+                self.look(now)
+        word = self._word_of(beat, edge)
+        if word is not None:
+            self._take_word(now, word)
+        elif self.vote.word.ballot > NONE and not beat.interval and beat.tally is None:
+            self._push |= Push.VOTE
+
+    def _take_registers(self, now: float, beat: Beat, edge: Edge | None) -> None:
         changed = False
         for register in beat.registers:
-            if (
-                register.rank < size
-                and register.rank != self.rank
-                and register.number > getattr(self.registers.get(register.rank), "number", -1)
-            ):
+            if register.rank >= len(self.view) or register.rank == self.rank:
+                continue
+            if edge is not None:
+                edge.has[register.rank] = max(register.number, edge.has.get(register.rank, -1))
+            if register.number > getattr(self.registers.get(register.rank), "number", -1):
                 self._set(register)
                 changed = True
         if edge is not None and beat.interval:
             edge.other_sum = 0 if beat.sum == self._sum else edge.other_sum + 1
         if changed:
             self.look(now)
-        if beat.word is not None:
-            word = word_of(beat.word, size)
-            ours = self.vote.word
-            if (
-                word.ballot == ours.ballot
-                and ours.ballot[1] == self.rank
-                and not ours.proposal
-                and now - self._opened_at > self.rules.ballot
-            ):
-                return  # promises for what we wanted a while ago: a fresh ballot is to ask for them
-            if self.vote.merge(word):
-                self._word_at = now
-                self._voted()
-            elif word != ours:
-                self._push = True  # it knows less than we
-        elif self.vote.word.ballot > NONE and not beat.interval:
-            self._push = True
+
+    def _word_of(self, beat: Beat, edge: Edge | None) -> Word | None:
+        """The vote as the other tells it, and which proposal it holds."""
+        size = len(self.view)
+        if beat.tally is not None:
+            word = tally_of(beat.tally, self.vote.word, size)
+        else:
+            word = None if beat.word is None else word_of(beat.word, size)
+        if edge is not None:
+            edge.version = beat.version
+            if word is not None and word.proposal:
+                edge.proposal = word.ballot, word.proposal
+        return word
+
+    def _take_word(self, now: float, word: Word) -> None:
+        ours = self.vote.word
+        if (
+            word.ballot == ours.ballot
+            and ours.ballot[1] == self.rank
+            and not ours.proposal
+            and now - self._opened_at > self.rules.ballot
+        ):
+            return  # promises for what we wanted a while ago: a fresh ballot is to ask for them
+        if self.vote.merge(word):
+            self._word_at = now
+            self._voted()
+        elif word != ours:
+            self._push |= Push.VOTE  # it knows less than we
--- a/yewrill/views/machine.py
+++ b/yewrill/views/machine.py
@@ -19,6 +19,7 @@
 
 from yewrill.members.evidence import WELL
 from yewrill.members.parts import Malformed
+from yewrill.views import admission
 from yewrill.views.format import PAGE, Answer, Ask, Beat, Call, Message, Page
 from yewrill.views.founding import Founding
 from yewrill.views.inside import Inside
@@ -28,6 +29,14 @@
 Address = tuple[str, int]
 MOST_CALLERS = 64
 MOST_CHANGES = 64  # that nobody took yet
+# Members of the list per interval between two calls of one that knows of no view; its longest in intervals
+CALLERS_NEW, MOST_STRETCH_NEW = 16.0, 12.0
+FEW_KNOWN = 32  # that are no large fleet
+# A list that has not grown by so many times for so many seconds is taken for whole
+GROWTH, GROWTH_S = 1.1, 1.0
+FETCH_STRETCH = 2  # how far behind a joiner may be that fetches the list
+PAGES_AGAIN = 2.0  # seconds until a list is asked for again
+CALLERS_KEPT, MOST_STRETCH_KEPT = 48.0, 4.0
 
 
 @dataclass(slots=True)
@@ -50,6 +59,11 @@
     got: dict[int, tuple[Entry, ...]] = field(default_factory=dict)
 
 
+def _gone(before: View, view: View) -> set[str]:
+    """The names of those that are in the view before only."""
+    return {e.name for e in before.entries if view.find(e.name, e.incarnation) is None}
+
+
 class Machine:
     def __init__(
         self,
@@ -68,6 +82,7 @@
         ] = []  # what was installed, until somebody takes it
         self.stopped = ""  # why for good: "left", "conflict"
         self._known: dict[str, Address] = {}
+        self._grew_at = NEVER  # when the list of those that live last grew much
         self._waits: dict[str, tuple[int, float]] = {}  # how often it was taken out, and when last
         self._inside: Inside | None = None
         self._seen: View | None = None
@@ -126,6 +141,8 @@
 
     def know(self, addresses: dict[str, Address], now: float) -> None:
         """Who seems to live, from the membership: where to begin."""
+        if len(addresses) > max(FEW_KNOWN, GROWTH * len(self._known)):
+            self._grew_at = now
         self._known = dict(list(addresses.items())[:MOST_ENTRIES])
 
     def tick(self, now: float) -> Step:
@@ -134,7 +151,8 @@
         self._wake(now)
         if self.installed is None:
             if now >= self._beat_at:
-                self._beat_at = now + self.interval
+                waits = self._now - self._grew_at < GROWTH_S
+                self._beat_at = now + (self.interval if waits else self._call_interval())
                 self._call()
         else:
             self._go_on(now)
@@ -146,9 +164,9 @@
         full = now >= self._beat_at
         if full:
             self._beat_at = max(self._beat_at + self.interval, now + 0.5 * self.interval)
-            inside.observe(now, tuple(c.entry for c in self._callers.values() if self._vouches(c)))
+            inside.observe(now, self._joiners())
             self._callers = {
-                name: c for name, c in self._callers.items() if now - c.heard < 8.0 * self.interval
+                name: c for name, c in self._callers.items() if now - c.heard < 8.0 * c.interval
             }
         if full or now >= inside.turn_at:
             inside.look(now)
@@ -156,6 +174,8 @@
         if full and self._inside is not None:
             for edge, beat in self._inside.beats(now):
                 self._say(edge.entry.address, beat)
+            for entry, beat in self._inside.vouches(now):
+                self._say(entry.address, beat)
 
     def receive(self, now: float, what: Message, sender: str, address: Address) -> Step:
         """Take a message of an authenticated sender."""
@@ -221,21 +241,29 @@
     def _outside(self, seen: View | None) -> None:
         """Be in no view; `seen`: the one we know of."""
         self._inside, self._seen, self._why_not, self._fetch = None, seen, "", None
+        self._told_size = 0  # of the view that answers told of
         self._answers: dict[Address, float] = {}  # who answered our calls, when last
         self._founding = Founding(
-            self.me, self.founders, self.kept, max(2.0, 8.0 * self.rules.interval), self.rules.lease
+            self.me,
+            self.founders,
+            self.kept,
+            max(2.0, 8.0 * self.rules.interval),
+            self.rules.lease_for,
         )
 
     def _begin(self, view: View, rank: int, last: bytes | None) -> None:
         """Be in the next view. What we hold of a lease goes with us, if we know what changed."""
         before, now = self._inside, self._now
-        lease, crashed, edges = NEVER, True, {}
+        # The first view of all follows none; of one that was fetched, nobody knows what changed.
+        lease, crashed, edges = NEVER, view.number > 1, {}
         if before is not None and last is not None:
             lease, edges = before.lease, {edge.entry: edge for edge in before.edges.values()}
-            gone = {e.name for e in before.view.entries if view.find(e.name, e.incarnation) is None}
+            gone = _gone(before.view, view)
             for name in sorted(gone - before.left):
                 self._note_out(name)
             crashed = not gone <= before.left
+        elif self._seen is not None and last is not None:
+            crashed = bool(_gone(self._seen, view))
         self._inside = Inside(
             view,
             rank,
@@ -314,6 +342,9 @@
         else:
             self._seen, self._fetch, self._why_not = view, None, ""
             self._answers.clear()
+            self._beat_at = min(
+                self._beat_at, self._now + self._rng.random() * self._call_interval()
+            )
 
     def _stop(self, why: str) -> None:
         self.stopped, self._inside = why, None
@@ -333,13 +364,14 @@
             return
         if edge is not None:
             edge.take(self._now, beat.heard, beat.interval)
+            edge.number = max(edge.number, beat.number)
         if beat.number > view.number:
             self._learn(beat.number, beat.digest, beat.last, address)
         elif beat.number < view.number:
             self._tell(address)
         elif rank is not None:
             try:
-                inside.merge(self._now, beat, edge)
+                inside.merge(self._now, beat, edge, sender)
             except (Malformed, ValueError):
                 self.counts.refused += 1
             self._voted()
@@ -355,10 +387,28 @@
 
     # -- those that are in none
 
+    def _joiners(self) -> tuple[Entry, ...]:
+        """Whom we vouch for, in the order in which all members prefer them. Those that the others have not
+        vouched for with us for long go behind: the rest does not wait for them."""
+        now = self._now
+        for caller in self._callers.values():
+            if not self._vouches(caller):
+                caller.vouched = None
+            elif caller.vouched is None:
+                caller.vouched = now
+        ready = [c for c in self._callers.values() if c.vouched is not None]
+        ready.sort(
+            key=lambda c: (
+                now - c.vouched > self.rules.patience,
+                admission.order(c.entry.name),
+            )
+        )
+        return tuple(c.entry for c in ready)
+
     def _vouches(self, c: Edge) -> bool:
         near = (
             c.calls >= 3
-            and max(self._now - c.heard, self._now - c.word) < 4.0 * self.interval
+            and max(self._now - c.heard, self._now - c.word) < 4.0 * c.interval
             and c.link.state(self._now, self.rules.threshold, self.rules.most_silence) == WELL
         )
         return (
@@ -367,14 +417,15 @@
             and self._inside.rank in self._inside.view.places(c.entry.name, c.entry.incarnation)
         )
 
-    def _answer(self, why_not: str, heard: int, number: int) -> Answer:
+    def _answer(self, why_not: str, heard: int, number: int, last: bool = True) -> Answer:
         view = self.installed
         return Answer(
             view.number,
             view.digest,
             heard,
             why_not,
-            self._inside.last if number == view.number - 1 else None,
+            self._inside.last if last and number == view.number - 1 else None,
+            len(view),
         )
 
     def _take_call(self, call: Call, address: Address) -> None:
@@ -387,7 +438,8 @@
             return
         caller = self._callers.get(name)
         if caller is None or caller.entry != call.entry:
-            if caller is None and len(self._callers) >= MOST_CALLERS:
+            if caller is None and not self._has_room_for(name):
+                self._say(address, self._answer("", -1, call.number))
                 return
             heard = -1
             every = call.interval / 1000.0 or self.interval
@@ -396,7 +448,19 @@
         else:
             heard = min(3_600_000, int(1000 * (self._now - caller.heard)))
         caller.take(self._now, call.heard, call.interval)
-        self._say(address, self._answer(self._objection(call.entry), heard, call.number))
+        # A caller speaks to many members: a part of them tell it the change, which may be long.
+        last = admission.tells(self._inside.rank, name)
+        self._say(address, self._answer(self._objection(call.entry), heard, call.number, last))
+
+    def _has_room_for(self, name: str) -> bool:
+        """Whether a new caller is noted; the last in the order gives way to one before it."""
+        if len(self._callers) < MOST_CALLERS:
+            return True
+        last = max(self._callers, key=admission.order)
+        if admission.order(name) > admission.order(last):
+            return False
+        del self._callers[last]
+        return True
 
     def _objection(self, entry: Entry) -> str:
         """Why one that calls is not vouched for yet, "" where nothing speaks against it."""
@@ -414,6 +478,8 @@
 
     def _call(self) -> None:
         """Speak to those that could take us in, or found a view with us."""
+        if self._now - self._grew_at < GROWTH_S and not self._founding.founder:
+            return  # a whole fleet may be starting: how many are before us is not known yet
         seen, known = self._seen, self._known
         to: dict[Address, None] = {}
         if seen is not None:
@@ -424,7 +490,7 @@
         else:
             to = {known[name]: None for name in self._founding.founders if name in known}
         others = [known[name] for name in sorted(known) if name != self.me.name]
-        to |= dict.fromkeys(self._rng.sample(others, min(3 if seen is None else 1, len(others))))
+        to |= dict.fromkeys(self._rng.sample(others, min(1, len(others))))
         to.pop(self.me.address, None)
         self._found()
         if self.installed is not None:
@@ -433,12 +499,30 @@
             self._say(address, self._call_to(address))
         self._ask()
 
+    def _stretch(self) -> int:
+        """How far behind we are among those that join, in batches."""
+        seen = self._seen
+        size = max(self._told_size, 0 if seen is None else len(seen))
+        joiners = [n for n in self._known if seen is None or seen.rank_of(n) is None]
+        return admission.stretch(size, self.me.name, joiners)
+
+    def _call_interval(self) -> float:
+        """Seconds between two calls: the longer, the more call beside us."""
+        size = len(self._known)
+        if self._founding.founder and self._seen is None:
+            return self.interval
+        if self._seen is not None or self._told_size:
+            return self.rules.call * self._stretch()
+        if self._founding.kept is not None:  # founders wait for us, and count what is fresh only
+            return self.interval * min(MOST_STRETCH_KEPT, max(1.0, size / CALLERS_KEPT))
+        return self.interval * min(MOST_STRETCH_NEW, max(1.0, size / CALLERS_NEW))
+
     def _call_to(self, address: Address, names: Kept | None = None) -> Call:
         ago, founding, seen = self._answers.get(address), self._founding, self._seen
         return Call(
             self.me,
             0 if seen is None else seen.number,
-            int(1000 * self.interval),
+            int(1000 * self._call_interval()),
             -1 if ago is None else min(3_600_000, int(1000 * (self._now - ago))),
             0 if founding.kept is None else founding.kept.number,
             founding.accept,
@@ -460,6 +544,7 @@
             if address in self._answers or len(self._answers) < MOST_CALLERS:
                 self._answers[address] = self._now
             self._why_not = answer.why_not
+            self._told_size = max(self._told_size, answer.size)
         self._learn(answer.number, answer.digest, answer.last, address)
 
     def _learn(self, number: int, digest: bytes, last: bytes | None, address: Address) -> None:
@@ -473,13 +558,24 @@
                 if view.digest == digest:
                     self._move(view, last)
                     return
-        if self._fetch is None or number > self._fetch.number or self._now - self._fetch.at > 2.0:
+        fetch = self._fetch
+        newer = fetch is None or number > fetch.number
+        if newer or self._now - fetch.at > PAGES_AGAIN:
             self._fetch = _Fetch(number, address, self._now)
-            self._say(address, Ask(number, 0))
+            # What follows ours is likely to be told as a change, with which our lease is carried over.
+            follows = ours is not None and number == ours.number + 1
+            if (not newer or not follows) and self._may_fetch():
+                self._say(address, Ask(number, 0))
+
+    def _may_fetch(self) -> bool:
+        """Whether a list is worth its bytes: those that join much later will need another one."""
+        if self.installed is not None or self._founding.founder:
+            return True
+        return self._stretch() <= FETCH_STRETCH
 
     def _ask(self) -> None:
         fetch = self._fetch
-        if fetch is not None:
+        if fetch is not None and self._may_fetch():
             missing = [page for page in range(fetch.pages) if page not in fetch.got][:8]
             for page in missing:
                 self._say(fetch.source, Ask(fetch.number, page))
@@ -504,9 +600,12 @@
         ):
             return
         if page.number != fetch.number or page.digest != fetch.digest:
-            fetch.number, fetch.digest, fetch.got = page.number, page.digest, {}
+            # Who joins stands at the end: full pages of the view before are likely to be the same.
+            fetch.got = {at: got for at, got in fetch.got.items() if len(got) == PAGE}
+            fetch.number, fetch.digest = page.number, page.digest
         fetch.pages, fetch.at = page.pages, self._now
         fetch.got[page.page] = page.entries
+        fetch.got = {at: got for at, got in fetch.got.items() if at < fetch.pages}
         if len(fetch.got) < fetch.pages:
             if page.page == 0 or len(fetch.got) % 8 == 0:
                 self._ask()
--- a/yewrill/views/view.py
+++ b/yewrill/views/view.py
@@ -19,7 +19,7 @@
 RINGS = 4
 ALL = 2 * RINGS + 1
 MOST_ENTRIES = 4096
-MOST_VALUE = 700  # bytes of a change; what does not fit comes with the next view
+MOST_VALUE = 1500  # bytes of a change; what does not fit comes with the next view
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Number = Annotated[int, Meta(ge=0, le=2**48)]
@@ -61,6 +61,11 @@
     return int.from_bytes(hashlib.blake2b(data, digest_size=8, person=b"view-ring").digest(), "big")
 
 
+def depth_of(size: int) -> float:
+    """About how many hops of the edges lead from anyone to anyone, in a view of so many."""
+    return math.log(max(4, size), 4)
+
+
 class View:
     """Not to be changed."""
 
@@ -82,7 +87,7 @@
     @property
     def depth(self) -> float:
         """About how many hops of the edges lead from anyone to anyone."""
-        return math.log(max(4, len(self.entries)), 4)
+        return depth_of(len(self.entries))
 
     @cached_property
     def names(self) -> tuple[str, ...]:
