--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,302 @@
+"""The control of large fleets in virtual time, within the shipped budgets: counts and bytes."""
+
+import math
+import random
+
+import pytest
+
+from yewrill.lab.netsim import Path
+from yewrill.lab.scale import plan
+from yewrill.lab.scale.events import WideFleet, rate, stood
+from yewrill.lab.scale.fit import line
+from yewrill.lab.scale.module import state
+from yewrill.lab.scale.plan import Mix, TooLarge
+from yewrill.lab.scale.virtual import Fleet, VirtualFleet
+from yewrill.members.format import Codec
+from yewrill.members.intake import BURST, Bucket, Intake, Priority
+from yewrill.members.machine import Claim, Machine, Message
+from yewrill.members.transport import VIEWS, Transport
+from yewrill.views import admission
+from yewrill.views.agreement import Word
+from yewrill.views.cut import marks
+from yewrill.views.format import (
+    MOST_VOUCHED,
+    Answer,
+    Beat,
+    Call,
+    pack,
+    priority_of,
+    tally_of,
+    unpack,
+    wire_tally,
+    word_of,
+)
+from yewrill.views.inside import Inside
+from yewrill.views.machine import Machine as ViewsMachine
+from yewrill.views.rules import Counts, Rules
+from yewrill.views.view import Entry, View
+from yewrill.views.vouching import PROPOSERS, SHIFT_S, Vouching
+
+LOOPBACK = Path(delay=0.0002, jitter=0.0002)
+
+
+def entries(size):
+    return tuple(Entry(f"m{i:04d}", i + 1, ("h", i)) for i in range(size))
+
+
+# -- a fleet that starts at once
+
+
+@pytest.mark.parametrize(
+    "dispatchers, seed, within", [(24, 1, 15.0), (24, 2, 15.0), (24, 5, 15.0), (60, 1, 20.0)]
+)
+def test_dispatchers_that_start_at_once_agree_within_the_shipped_budget(dispatchers, seed, within):
+    fleet = VirtualFleet(seed, Fleet(dispatchers, path=LOOPBACK))
+    assert fleet.until(fleet.agreed, within) is not None
+    assert not fleet.conflicts and not fleet.lost_leases
+    assert not sum(n.transport.held_back_by[Priority.HEARTBEAT] for n in fleet.living())
+
+
+def test_with_loss_and_regions_apart_they_agree_too():
+    fleet = WideFleet(3, Fleet(33, path=Path(loss=0.02)))
+    assert fleet.form() is not None and not fleet.conflicts
+
+
+def test_at_rest_bytes_a_member_fall_within_the_budget_and_no_lease_is_lost():
+    """By the size they must not grow faster than its logarithm; here they fall."""
+    found = {}
+    for size in (24, 72, 200):
+        fleet = stood(size)
+        found[size] = rate(fleet, 6.0)
+        assert not fleet.lost_leases and fleet.held_back == fleet.flooded == 0
+    rates = [found[size]["bytes_per_s"] for size in sorted(found)]
+    for (small, less), (large, more) in zip(
+        list(zip(sorted(found), rates, strict=True))[:-1],
+        list(zip(sorted(found), rates, strict=True))[1:],
+        strict=True,
+    ):
+        assert more <= less * math.log(large) / math.log(small)
+    assert found[24]["bytes_per_s"] < plan.BUDGET_BYTES_PER_S
+    assert found[200]["bytes_per_s"] < plan.BUDGET_BYTES_AT_REST
+
+
+def test_a_region_that_is_cut_off_leaves_the_others_their_leases_and_comes_back():
+    fleet = stood(33)
+    away = [name for name in fleet.nodes if fleet.region(name) == 2]
+    stay = sorted(set(fleet.nodes) - set(away))
+    fleet.cut(away, stay, heal_after=15.0)
+    assert fleet.until(lambda: fleet.agreed(stay), 6.0) is not None
+    fleet.run(15.0)
+    assert not fleet.lost(away)
+    assert fleet.until(fleet.agreed, 15.0) is not None and not fleet.conflicts
+
+
+# -- joiners
+
+
+def vouching(rank, heard):
+    """Whom a member of a view of nine vouches for, that has heard these call three times each."""
+    view = View(1, entries(9))
+    machine = ViewsMachine(view.entries[rank], (), None, random.Random(rank), 0.0)
+    machine.take(view, 0.0)
+    for call in range(4):
+        now = 0.1 + 0.3 * call
+        for name in heard:
+            caller = Entry(name, 5, (name, 1))
+            machine.receive(now, Call(caller, 1, 300, 1 if call else -1, 0), name, caller.address)
+    return [entry.name for entry in machine._joiners()]
+
+
+def test_all_observers_prefer_the_same_joiners_in_whatever_order_they_were_heard():
+    names = [f"j{i}" for i in range(40)]
+    lists = [vouching(rank, random.Random(rank).sample(names, len(names))) for rank in range(9)]
+    for vouched in lists:
+        assert len(vouched) > MOST_VOUCHED and vouched == sorted(vouched, key=admission.order)
+    enough = marks(8)[1]  # vouchers that a joiner needs
+    come = [name for name in names if sum(name in v[:MOST_VOUCHED] for v in lists) >= enough]
+    assert len(come) >= MOST_VOUCHED // 2
+
+
+def test_joiners_call_the_more_rarely_the_more_are_before_them():
+    names = sorted((f"j{i}" for i in range(200)), key=admission.order)
+    found = [admission.stretch(8, name, names) for name in names]
+    assert found[:8] == [1] * 8 and found == sorted(found) and max(found) <= admission.MOST_STRETCH
+    assert sum(1.0 / stretch for stretch in found) < 45  # calls of 200 come to those of so many
+    assert admission.stretch(200, names[-1], names) == 1
+
+
+def test_vouchers_are_told_to_those_who_propose_and_to_others_if_they_do_not():
+    view = View(4, entries(40))
+    one = Vouching(view, 0, 0.25)
+    joiner = Entry("new", 7, ("h", 99))
+    assert one.to_tell(1.0, frozenset()) == [] and one.take(0, (joiner,))
+    told = {e.name for e in one.to_tell(1.0, frozenset())}
+    turns = [view.entries[rank].name for rank in view.turns()]
+    assert told == set(turns[:PROPOSERS]) - {"m0000"}
+    assert one.to_tell(1.1, frozenset()) == []  # not again at once
+    later = {e.name for e in one.to_tell(1.0 + SHIFT_S, frozenset())}
+    assert later == set(turns[: 2 * PROPOSERS]) - {"m0000"}
+    dead = frozenset(view.turns()[:PROPOSERS])
+    again = {e.name for e in one.to_tell(30.0, dead)}
+    assert again and not again & {view.entries[rank].name for rank in dead}
+    assert one.vouchers() == {joiner: {0}} and not one.take(0, (joiner,))
+
+
+# -- the vote, where the other holds the proposal
+
+
+def test_a_tally_says_what_the_word_says_and_only_to_the_same_proposal():
+    word = Word((3, 1), 0b111, proposal=b"x" * 900, accepted=0b110)
+    tally = wire_tally(word, 5)
+    assert tally_of(tally, word._replace(accepted=0b1), 5) == word
+    assert tally_of(tally, word._replace(proposal=b"y"), 5) is None
+    assert tally_of(tally, word._replace(ballot=(4, 1)), 5) is None
+    assert tally_of(tally, Word((3, 1)), 5) is None
+
+
+def test_a_proposal_goes_once_to_who_shows_that_it_holds_it():
+    view = View(4, entries(3))
+    one, other = (
+        Inside(view, rank, Rules(), random.Random(rank), Counts(), 0.0, crashed=False, lease=99.0)
+        for rank in (0, 1)
+    )
+    word = Word((1, 2), 0b111, proposal=b"x" * 900, accepted=0b100)
+    for inside in (one, other):
+        assert inside.vote.merge(word)
+    to_other, to_one = one.edges[1], other.edges[0]
+    first = one._message(to_other, 1.0)
+    assert first.word is not None and first.tally is None
+    other.merge(1.0, first, to_one, "m0000")
+    second = other._message(to_one, 1.1)
+    assert second.word is None and second.tally is not None  # we have told it ourselves
+    one.merge(1.2, second, to_other, "m0001")
+    assert one.vote.word.accepted == 0b111
+    old = unpack(b"".join(_payload(first))).__class__
+    assert old is Beat
+
+
+def _payload(message):
+    import msgpack
+
+    return [msgpack.unpackb(part)[3] for part in pack(message)]
+
+
+def test_the_first_format_of_beats_and_answers_is_still_understood():
+    """As an older member sends them: without the fields that came later, and it ignores these."""
+    import msgspec
+
+    beat = Beat(4, b"8 bytes!", 7, 250, 10, 0, version=2)
+    answer = Answer(4, b"8 bytes!", 10, size=9)
+    for message, fields in ((beat, 11), (answer, 6)):
+        plain = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
+        assert len(plain) > fields
+        old = unpack(msgspec.msgpack.encode(plain[:fields]))
+        assert type(old) is type(message) and old.number == 4
+    assert (
+        unpack(
+            msgspec.msgpack.encode(msgspec.msgpack.decode(msgspec.msgpack.encode(beat))[:11])
+        ).version
+        == 1
+    )
+    word = Word((1, 0), 0b1)
+    assert word_of(Beat(4, b"8 bytes!", 7, 0, 0, 0, word=_wire(word)).word, 3) == word
+
+
+def _wire(word):
+    from yewrill.views.format import wire_word
+
+    return wire_word(word, 3)
+
+
+# -- budgets
+
+
+def transport(bytes_per_s):
+    machine = Machine(Claim("a", ("h", 1)), [("h", 2)], random.Random(1), 0.0)
+    return Transport(machine, Codec("a", 1, [b"k" * 16]), bytes_per_s)
+
+
+def test_heartbeats_find_room_where_gossip_and_lists_do_not():
+    sender = transport(1000.0)
+    full = 1000.0 * BURST
+    while sender.send(0.0, [(("h", 2), Message("list", about="x" * 40))]):
+        pass
+    assert sender.sent <= full * (1.0 - Priority.LIST.value)
+    while sender.send(0.0, [(("h", 2), Message("news", about="x" * 40))]):
+        pass
+    assert sender.sent <= full * (1.0 - Priority.GOSSIP.value)
+    assert sender.send(0.0, [(("h", 2), Message("ping", 1))])
+    assert sender.say(0.0, VIEWS, [(("h", 2), b"beat")])
+    assert sender.held_back_by == {Priority.LIST: 1, Priority.GOSSIP: 1}
+
+
+def test_messages_of_views_have_their_priority():
+    entry = Entry("n", 1, ("h", 1))
+    beat, call = Beat(1, b"8 bytes!", 1, 0, 0, 0), Call(entry, 0, 250, -1, 0)
+    assert priority_of(beat) is priority_of(call) is Priority.HEARTBEAT
+    assert priority_of(Answer(1, b"8 bytes!", 0)) is Priority.GOSSIP
+
+
+def test_one_member_and_strangers_leave_the_others_their_share_of_what_is_looked_at():
+    intake = Intake(10_000.0)
+    members = [("h", i) for i in range(20)]
+    intake.know(members)
+    taken = sum(intake.admits(0.0, ("h", 0), 100) for _ in range(1000))
+    assert taken * 100 <= 0.25 * 10_000.0 * BURST
+    assert sum(intake.admits(0.0, ("strange", i), 100) for i in range(1000)) * 100 <= 5000.0
+    rest = sum(intake.admits(0.0, member, 100) for member in members[1:] for _ in range(5))
+    assert rest == 5 * 19  # a well peer sends so much in a moment
+    assert sum(intake.admits(0.0, m, 100) for m in members for _ in range(99)) * 100 <= 20_000.0
+
+
+def test_a_bucket_leaves_what_it_is_told_to():
+    bucket = Bucket(100.0)
+    assert bucket.take(0.0, 100.0, 0.5) and not bucket.take(0.0, 1.0, 0.5) and bucket.take(0.0, 1.0)
+
+
+# -- lists
+
+
+def test_equal_lists_are_not_sent_and_different_ones_are():
+    one, other = (
+        Machine(Claim(name, ("h", at)), [], random.Random(at), 0.0) for at, name in enumerate("ab")
+    )
+    for machine, claim in ((one, other.me), (other, one.me)):
+        machine._set(claim)
+    assert one.digest == other.digest
+    question = Message("list", one.digest, about="a")
+    assert other.receive(0.1, question, "a", ("h", 0)) == []
+    other._set(Claim("c", ("h", 9)))
+    (answer,) = other.receive(0.2, question, "a", ("h", 0))
+    assert {claim.name for claim in answer[1].news} == {"a", "b", "c"}
+    assert other.receive(0.3, Message("list", about="a"), "a", ("h", 0))  # as an older member asks
+
+
+# -- what a machine is asked to run, and lines through measurements
+
+
+def test_a_fleet_that_is_too_large_for_the_machine_is_refused_with_its_reason():
+    plan.check(Mix(12, 188), 32_000.0)
+    with pytest.raises(TooLarge, match="301 processes"):
+        plan.check(Mix(301, 0), 1e6)
+    with pytest.raises(TooLarge, match="half of the machine's 1000 MB"):
+        plan.check(Mix(12, 188), 1000.0)
+
+
+def test_a_line_tells_a_hidden_square_and_wants_five_sizes():
+    sizes = [6.0, 12.0, 24.0, 60.0, 120.0, 200.0]
+    straight = line(sizes, [3.0 * size + 7.0 for size in sizes])
+    assert straight.slope == pytest.approx(3.0) and straight.constant == pytest.approx(7.0)
+    assert (
+        not straight.bent
+        and straight.residual < 1e-9
+        and straight.at(680.0) == pytest.approx(2047.0)
+    )
+    assert line(sizes, [0.1 * size * size for size in sizes]).bent
+    with pytest.raises(ValueError, match="5 sizes, not 2"):
+        line([1.0, 2.0], [1.0, 2.0])
+
+
+def test_the_modules_state_is_bounded_by_workers_and_teams():
+    assert (state(680, 15) - state(60, 15)) / 620 < 1500
+    assert (state(60, 120) - state(60, 2)) / 118 < 1500
--- /dev/null
+++ b/yewrill/lab/scale/module.py
@@ -0,0 +1,94 @@
+"""The decision module's cost: time a job by the number of workers, state a worker and a team."""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from typing import Any
+
+from yewrill import Dispatcher, Settings
+from yewrill import interface as api
+from yewrill.lab.scale.fit import line
+
+WORKER_SIZES = (60, 120, 240, 480, 680)
+TEAM_SIZES = (2, 15, 30, 60, 120)
+JOBS = 4000
+DEADLINE = 5000.0
+
+
+def settings(teams: int) -> Settings:
+    """Settings with so many teams, each with its quota."""
+    share = 1.0 / teams
+    return Settings(
+        classes=[api.JobClass("tour", aim=200.0, deadline=DEADLINE, worth=1.0, stretch=2.0)],
+        tenants=[api.Tenant(f"team{i:03d}", 64.0, share) for i in range(teams)],
+        dispatchers=1,
+        tells_start=True,
+        fifo=True,
+        max_attempts=4,
+    )
+
+
+def dispatcher(workers: int, teams: int) -> Dispatcher:
+    """A module that knows so many workers."""
+    module = Dispatcher(settings(teams), 1)
+    entries = [api.WorkerEntry(f"w{i:04d}", i % 11) for i in range(workers)]
+    module.handle(0.0, [api.WorkerList(api.LIST_CACHED, entries)])
+    return module
+
+
+def time_a_job(workers: int, teams: int, jobs: int = JOBS) -> float:
+    """Seconds of processor that the module takes for a job: arrival, start, end."""
+    module = dispatcher(workers, teams)
+    now, busy = 1000.0, 0.0
+    for number in range(jobs):
+        now += 2.8  # 360 a second
+        name = f"j{number}"
+        arrival = api.JobArrived(name, 0, now + DEADLINE, number % teams, 1.0)
+        began = time.process_time()
+        actions = module.handle(now, [arrival])
+        for action in actions:
+            if isinstance(action, api.Send):
+                worker = action.worker
+                module.handle(now + 1.0, [api.AttemptStarted(name, 0, worker)])
+                ended = api.AttemptEnded(name, 0, worker, api.SERVED, 100.0, True)
+                module.handle(now + 100.0, [ended])
+        busy += time.process_time() - began
+    return busy / jobs
+
+
+def state(workers: int, teams: int) -> int:
+    """Bytes of the module's state."""
+    gc.collect()
+    tracemalloc.start()
+    module = dispatcher(workers, teams)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert module is not None
+    return held
+
+
+def measure_module(quick: bool) -> dict[str, Any]:
+    """Time and state at five sizes each, and the lines through them."""
+    jobs = JOBS // 8 if quick else JOBS
+    times = [1e6 * time_a_job(workers, 15, jobs) for workers in WORKER_SIZES]
+    by_worker = [float(state(workers, 15)) for workers in WORKER_SIZES]
+    by_team = [float(state(60, teams)) for teams in TEAM_SIZES]
+    fits = {
+        "us_a_job": line(WORKER_SIZES, times),
+        "bytes_a_worker": line(WORKER_SIZES, by_worker),
+        "bytes_a_team": line(TEAM_SIZES, by_team),
+    }
+    return {
+        "workers": list(WORKER_SIZES),
+        "us_a_job": [round(value, 1) for value in times],
+        "state_by_worker": by_worker,
+        "teams": list(TEAM_SIZES),
+        "state_by_team": by_team,
+        "fits": {
+            name: {key: round(getattr(fit, key), 4) for key in fit.__slots__}
+            for name, fit in fits.items()
+        },
+    }
--- a/yewrill/lab/scale/virtual.py
+++ b/yewrill/lab/scale/virtual.py
@@ -27,6 +27,7 @@
 
 SHIPPED_BYTES_PER_S = 20_000.0
 PEERS = 8
+LINGER_S = 0.5  # of one that leaves its view
 LEAST_STEP = 1e-3  # between two looks at a machine's timer
 
 
@@ -132,6 +133,17 @@
         for name in names:
             self.nodes[name].dead = True
 
+    def leave(self, name: str) -> None:
+        """End one in good order: its views first, then its membership."""
+        node = self.nodes[name]
+        self._put(node, self._say(node, node.views.leave(self.now)))
+
+        def end() -> None:
+            self._put(node, node.transport.send(self.now, node.transport.machine.leave(self.now)))
+            node.dead = True
+
+        self.at(self.now + LINGER_S, end)
+
     def restart(self, names: Iterable[str]) -> None:
         """Start some anew, with what they kept."""
         for name in list(names):
