--- a/yewrill/lab/scale/module.py
+++ b/yewrill/lab/scale/module.py
@@ -1,4 +1,4 @@
-"""The decision module's cost: time a job by the number of workers, state a worker and a team."""
+"""What serving costs by size: the decision module's time and state, and the list of workers."""
 
 from __future__ import annotations
 
@@ -7,8 +7,11 @@
 import tracemalloc
 from typing import Any
 
+import ujson
+
 from yewrill import Dispatcher, Settings
 from yewrill import interface as api
+from yewrill.config import Places, read_destinations
 from yewrill.lab.scale.fit import line
 
 WORKER_SIZES = (60, 120, 240, 480, 680)
@@ -92,3 +95,46 @@
             for name, fit in fits.items()
         },
     }
+
+
+def list_of(workers: int) -> bytes:
+    """Discovery's whole list of so many workers, as it is sent."""
+    servers = [
+        {
+            "id": f"w{i:04d}",
+            "addr": f"10.0.{i >> 8}.{i & 255}:8080",
+            "zone": f"z{i % 11:02d}",
+            "kind": "std5",
+            "cell": 0,
+            "state": "SERVING",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for i in range(workers)
+    ]
+    return ujson.dumps({"version": 1, "full": True, "servers": servers}).encode()
+
+
+def measure_lists(quick: bool) -> dict[str, Any]:
+    """A whole list at five sizes: bytes, and the time to read and check it."""
+    places = Places(tuple(f"z{i:02d}" for i in range(11)), ("std5",))
+    sizes, times = [], []
+    for workers in WORKER_SIZES:
+        body = list_of(workers)
+        sizes.append(float(len(body)))
+        took = []
+        for _ in range(3 if quick else 15):
+            began = time.process_time()
+            read_destinations(ujson.loads(body), "answer", places)
+            took.append(time.process_time() - began)
+        times.append(1e3 * sorted(took)[len(took) // 2])
+    fits = {"bytes": line(WORKER_SIZES, sizes), "ms": line(WORKER_SIZES, times)}
+    return {
+        "workers": list(WORKER_SIZES),
+        "bytes": sizes,
+        "ms": [round(value, 2) for value in times],
+        "fits": {
+            name: {key: round(getattr(fit, key), 5) for key in fit.__slots__}
+            for name, fit in fits.items()
+        },
+    }
--- a/yewrill/members/__init__.py
+++ b/yewrill/members/__init__.py
@@ -9,10 +9,10 @@
 
 `machine.py` (pure) takes messages and the time, and gives messages back; `evidence.py` (pure) says what a
 silence is worth, and which ways between two members work; `suspicion.py` (pure) says how long a doubt may
-last and how much a member trusts itself; `intake.py` (pure) is the budget of what comes
-in; `format.py` turns messages into authenticated datagrams and back; `parts.py` cuts
-what other parts say into cargo; `link.py` is the socket; `Members` in
-`facade.py` is all that others use.
+last and how much a member trusts itself; `intake.py` (pure) has the budgets of what goes out and comes in;
+`format.py` turns messages into authenticated datagrams and back; `parts.py` cuts what other parts say into
+payloads; `transport.py` (no I/O) puts these together; `link.py` runs it on the socket of `udp.py`; `Members`
+in `facade.py` is all that others use.
 """
 
 from yewrill.members.facade import Members, MembersConfig, View
