--- a/tests/helper.py
+++ b/tests/helper.py
@@ -300,8 +300,8 @@
             await client.stream.aclose()
 
     async def call(self, call: str, raw: bytes | None = None) -> Reply:
-        """One call at the operators' door, such as "GET /_ready"."""
-        client = Client(await trio.open_tcp_stream(*self.service.door.address))
+        """One call at the management listener, such as "GET /_ready"."""
+        client = Client(await trio.open_tcp_stream(*self.service.management.address))
         method, _, target = call.partition(" ")
         client.parser.send(
             h11.Request(method=method, target=target or "/", headers=[("Host", "x")])
--- a/tests/test_basics.py
+++ b/tests/test_basics.py
@@ -32,7 +32,7 @@
         "yewrill.cli",
         "yewrill.configwrite",
         "yewrill.fronts.progress",
-        "yewrill.net.door",
+        "yewrill.net.management",
         "yewrill.net.handover",
         "yewrill.keeping",
         "yewrill.traced",
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -226,14 +226,14 @@
         (503, b"not yet\n"),
     ]
 
-    async def door(stream):
+    async def management(stream):
         http = Http(stream)
         await http.request()
         await http.answer(*answers.pop(0))
         await stream.aclose()
 
     async with installation(tmp_path, Plan(dispatchers=1, zones=1)) as rig:
-        async with listening(rig.nursery, door) as rig.dispatchers["d0"].door:
+        async with listening(rig.nursery, management) as rig.dispatchers["d0"].management:
             assert await rig.ask("d0", "/_members") == {"members": []}
             with pytest.raises(Refused, match="503 not yet"):
                 await rig.ask("d0", "/_members")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -260,7 +260,7 @@
     )
     assert done.exit_code == 0, done.output
     assert call("config", "check", path).output.startswith(
-        "ok: yewrill on 127.0.0.1:5000, front progress, door 127.0.0.1:9600, "
+        "ok: yewrill on 127.0.0.1:5000, front progress, management 127.0.0.1:9600, "
     )
     config = load_config(path)
     assert [(c.name, c.stretch) for c in config.settings.classes] == [("tour", 2.5), ("save", 0.0)]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -17,8 +17,8 @@
 from yewrill.ending import Ending
 from yewrill.facade import Operation
 from yewrill.net import listener
-from yewrill.net.door import Door
 from yewrill.net.handover import HandOver, link_path
+from yewrill.net.management import ManagementListener
 from yewrill.policy.dispatcher import HELD_TIMER, Dispatcher
 from yewrill.service import LEAST_SOCKETS, SPARE, Service
 
@@ -44,7 +44,7 @@
 async def test_silent_callers_hold_nobody_up_and_are_closed_in_a_second():
     async with world(Peer("d1", done), **MGMT) as w:
         began = trio.current_time()
-        silent = [await trio.open_tcp_stream(*w.service.door.address) for _ in range(40)]
+        silent = [await trio.open_tcp_stream(*w.service.management.address) for _ in range(40)]
         for stream in silent[::2]:
             await stream.send_all(b"GET /_rea")
         assert (await w.call("GET /_ready")).status == 200
@@ -62,7 +62,7 @@
 @story
 async def test_without_mgmt_there_is_no_door():
     async with world(Peer("d1", done)) as w:
-        assert w.service.door is None
+        assert w.service.management is None
 
 
 class Shared:
@@ -724,13 +724,13 @@
 
 @story
 async def test_a_caller_in_the_backlog_at_the_very_end_spoils_no_exit():
-    door = Door(("127.0.0.1", 0), {})
+    management = ManagementListener(("127.0.0.1", 0), {})
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(door.run)
+        nursery.start_soon(management.run)
         await trio.testing.wait_all_tasks_blocked()
         nursery.cancel_scope.cancel()
-    late = await trio.open_tcp_stream(*door.address)
-    door.close()
+    late = await trio.open_tcp_stream(*management.address)
+    management.close()
     await late.aclose()
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -46,15 +46,17 @@
                     return match
             await self.changed.wait()
 
-    async def ask(self, *args, door: bool = False, **kwargs):
-        address = await self.said(("door " if door else " ready .*") + r"listen=([\d.]+):(\d+)")
+    async def ask(self, *args, management: bool = False, **kwargs):
+        address = await self.said(
+            ("door " if management else " ready .*") + r"listen=([\d.]+):(\d+)"
+        )
         stream = await trio.open_tcp_stream(address[1], int(address[2]))
         async with stream:
             return await Client(stream).ask(*args, **kwargs)
 
     async def call(self, call: str):
         method, _, target = call.partition(" ")
-        return await self.ask(target, method, b"", door=True)
+        return await self.ask(target, method, b"", management=True)
 
 
 @asynccontextmanager
--- a/yewrill/cli.py
+++ b/yewrill/cli.py
@@ -91,7 +91,7 @@
         _fail(error)
     click.echo(
         f"ok: {found.name} on {found.listen[0]}:{found.listen[1]}, front {found.front}, "
-        + (f"door {found.mgmt[0]}:{found.mgmt[1]}, " if found.mgmt else "")
+        + (f"management {found.mgmt[0]}:{found.mgmt[1]}, " if found.mgmt else "")
         + f"classes {', '.join(c.name for c in found.settings.classes)}, "
         f"tenants {', '.join(t.name for t in found.settings.tenants) or 'none'}"
     )
@@ -100,7 +100,7 @@
 @config.command()
 @click.option("--listen", required=True, help="IPv4-ADDRESS:PORT where clients connect.")
 @click.option("--discovery", required=True, help="IPv4-ADDRESS:PORT of discovery.")
-@click.option("--mgmt", help="IPv4-ADDRESS:PORT of the operators' door; no door if absent.")
+@click.option("--mgmt", help="IPv4-ADDRESS:PORT of the management listener; none if absent.")
 @click.option("--name", default="yewrill", show_default=True)
 @click.option("--front", type=click.Choice(FRONTS), default="platform", show_default=True)
 @click.option(
--- a/yewrill/config.py
+++ b/yewrill/config.py
@@ -133,7 +133,9 @@
         None  # listen on this descriptor; two runs may then serve beside each other
     )
     link_dir: str | None = None  # where they find each other
-    mgmt: tuple[str, int] | None = None  # where operators call; without it there is no door
+    mgmt: tuple[str, int] | None = (
+        None  # where operators call; without it there is no management listener
+    )
     state: StateConfig | None = None  # without it nothing is kept
     tracing: TracingConfig | None = None  # without it nothing is traced
     members: MembersConfig | None = None  # without it no other dispatcher is known
--- a/yewrill/hooks.py
+++ b/yewrill/hooks.py
@@ -31,7 +31,7 @@
 
 
 class Hook(Protocol):
-    name: str  # the door answers GET /_NAME with its status
+    name: str  # the management listener answers GET /_NAME with its status
     calls: Mapping[
         str, Callable[[str], Awaitable[bool]]
     ]  # PUT /_NAME/CALL?name=..., False: no such name
--- a/yewrill/lab/cluster/commands.py
+++ b/yewrill/lab/cluster/commands.py
@@ -146,7 +146,8 @@
             for one in rig.living():
                 click.echo(
                     f"{one.name} {one.zone}: clients {one.listen[0]}:{one.listen[1]}, "
-                    f"door http://{one.door[0]}:{one.door[1]}/_zones, process {one.process.pid}"
+                    f"management http://{one.management[0]}:{one.management[1]}/_zones, "
+                    f"process {one.process.pid}"
                 )
             click.echo(
                 f"try: curl -d x -H 'X-Request-ID: 1' -H 'X-Tenant-Id: acme' "
--- a/yewrill/lab/cluster/rig.py
+++ b/yewrill/lab/cluster/rig.py
@@ -79,7 +79,7 @@
     zone: str
     path: Path
     listen: Address
-    door: Address
+    management: Address
     members: Address
     discovery: Discovery
     options: tuple[str, ...] = ()
@@ -90,7 +90,7 @@
 
 
 class Refused(Exception):
-    """A call at a dispatcher's door that was not done."""
+    """A call at a dispatcher's management listener that was not done."""
 
 
 class Rig:
@@ -159,7 +159,7 @@
         return {
             "name": one.name,
             "listen": f"127.0.0.1:{one.listen[1]}",
-            "mgmt": f"127.0.0.1:{one.door[1]}",
+            "mgmt": f"127.0.0.1:{one.management[1]}",
             "discovery": f"127.0.0.1:{discovery[1]}",
             "seed": str(self.seed),
             "settings": {
@@ -317,7 +317,7 @@
         return sum(member["state"] == "alive" for member in listed)
 
     async def ask(self, name: str, path: str, method: str = "GET") -> Any:
-        """A call at a dispatcher's door; its JSON, or its text. One that the door says came too late is made
+        """A call at a dispatcher's management listener; its JSON, or its text. One that came too late is made
         again; raises Refused where it is turned down otherwise."""
         while True:
             status, body = await self._call(name, path, method)
@@ -327,7 +327,7 @@
                 raise Refused(f"{name} {method} {path}: {status} {body.decode(errors='replace')}")
 
     async def _call(self, name: str, path: str, method: str) -> tuple[int, bytes]:
-        stream = await trio.open_tcp_stream(*self.dispatchers[name].door)
+        stream = await trio.open_tcp_stream(*self.dispatchers[name].management)
         async with stream:
             http = Http(stream, h11.CLIENT)
             request = h11.Request(method=method, target=path, headers=[("Host", "x")])
@@ -382,11 +382,11 @@
         for one in self.dispatchers.values():
             one.discovery.tell()
 
-    async def take_out(self, name: str, *doors: str) -> None:
+    async def take_out(self, name: str, *addresses: str) -> None:
         """Operators take a profiler out at some dispatchers; each says that it is done."""
-        for door in doors:
-            assert "detached" in await self.ask(door, f"/_profilers/detach?name={name}", "PUT")
-            self.history.note(door, "taken-out", profiler=name)
+        for address in addresses:
+            assert "detached" in await self.ask(address, f"/_profilers/detach?name={name}", "PUT")
+            self.history.note(address, "taken-out", profiler=name)
 
     def drain(self, name: str) -> None:
         self.profilers[name].state = "DRAINING"
--- a/yewrill/lab/cluster/scenarios.py
+++ b/yewrill/lab/cluster/scenarios.py
@@ -228,7 +228,7 @@
 
 @scenario()
 async def operators_order(rig: Rig) -> None:
-    """Operators have a zone left at every door, and returned."""
+    """Operators have a zone left at every management listener, and returned."""
     for name in rig.dispatchers:
         await rig.ask(name, "/_zones/leave?name=z1", "PUT")
     rig.history.note("rig", "ordered")
--- a/yewrill/net/door.py
+++ b/yewrill/net/management.py
@@ -1,4 +1,4 @@
-"""The operators' door: a small listener of its own, one call to a connection. What a call does is told it."""
+"""The management listener: a small one, one call to a connection. What a call does is told it."""
 
 from __future__ import annotations
 
@@ -23,19 +23,24 @@
     named: bool = False
 
 
-class Door:
+class ManagementListener:
+    """Answers operators' calls, by method and path."""
+
     def __init__(self, address: tuple[str, int], calls: Mapping[str, Call]):
         self._calls = calls
         self._listener = Listener(address, self._handle, PLACES, patience=PATIENCE, part="door")
 
     @property
     def address(self) -> tuple[str, int]:
+        """Where it listens."""
         return self._listener.address
 
     async def run(self) -> None:
+        """Answer until `close`."""
         await self._listener.run()
 
     def close(self) -> None:
+        """Take no more calls."""
         self._listener.stop_accepting(take_backlog=False)  # nobody is left to serve it
 
     async def _handle(self, client: Client, request: Request) -> bool:
--- a/yewrill/ownership/commands.py
+++ b/yewrill/ownership/commands.py
@@ -1,5 +1,5 @@
-"""`yewrill owners ...`: who owns the fleet's duties, at the doors of dispatchers. Exit status: 0 done, 1 not
-at all doors."""
+"""`yewrill owners ...`: who owns the fleet's duties, at the management listeners of dispatchers. Exit status:
+0 done, 1 not at all of them."""
 
 from __future__ import annotations
 
@@ -9,15 +9,16 @@
 import click
 import ujson
 
-from yewrill import doors as at
+from yewrill import management_client as at
 
-_doors = click.option(
-    "--door",
-    "doors",
+_addresses = click.option(
+    "--management",
+    "--door",  # its former name
+    "addresses",
     multiple=True,
     required=True,
     metavar="ADDRESS:PORT",
-    help="A dispatcher's door; give one for each.",
+    help="A dispatcher's management listener; give one for each.",
 )
 
 
@@ -26,23 +27,23 @@
     """See who owns the fleet's duties; have one given up."""
 
 
-def _ask(doors: tuple[str, ...]) -> tuple[dict[str, dict], bool]:
-    """What each door says, and whether all said something."""
+def _ask(addresses: tuple[str, ...]) -> tuple[dict[str, dict], bool]:
+    """What each management listener says, and whether all said something."""
     told, whole = {}, True
-    for door, status, body in at.each(doors, "GET", "/_ownership"):
+    for address, status, body in at.each(addresses, "GET", "/_ownership"):
         if status == 200:
-            told[door] = ujson.loads(body)
+            told[address] = ujson.loads(body)
         else:
             whole = False
-            click.echo(at.told(door, status, body), err=True)
+            click.echo(at.told(address, status, body), err=True)
     return told, whole
 
 
 @owners.command(name="list")
-@_doors
-def listed(doors: tuple[str, ...]) -> None:
-    """Each duty, its owner and number, as most of the doors know them."""
-    told, whole = _ask(doors)
+@_addresses
+def listed(addresses: tuple[str, ...]) -> None:
+    """Each duty, its owner and number, as most of the management listeners know them."""
+    told, whole = _ask(addresses)
     best: dict[str, dict] = {}
     for said in told.values():
         for duty in said["duties"]:
@@ -56,11 +57,11 @@
 
 
 @owners.command()
-@_doors
-def show(doors: tuple[str, ...]) -> None:
+@_addresses
+def show(addresses: tuple[str, ...]) -> None:
     """What each dispatcher knows, and how the voters stand."""
-    told, whole = _ask(doors)
-    for door, said in told.items():
+    told, whole = _ask(addresses)
+    for address, said in told.items():
         voter = said.get("voter")
         state = (
             "no voter"
@@ -76,7 +77,7 @@
                 + (f", stood down: {voter['failed']}" if voter["failed"] else "")
             )
         )
-        click.echo(f"{door}  {state}")
+        click.echo(f"{address}  {state}")
         for duty in said["duties"]:
             ours = " (ours)" if duty["ours"] else ""
             click.echo(
@@ -88,14 +89,14 @@
 
 @owners.command()
 @click.argument("duty")
-@_doors
-def move(duty: str, doors: tuple[str, ...]) -> None:
+@_addresses
+def move(duty: str, addresses: tuple[str, ...]) -> None:
     """Have the owner, whichever of these dispatchers it is, give a duty up; another gets it."""
     failed = False
-    for door, status, body in at.each(
-        doors, "PUT", f"/_ownership/release?name={quote(duty, safe='')}"
+    for address, status, body in at.each(
+        addresses, "PUT", f"/_ownership/release?name={quote(duty, safe='')}"
     ):
         if status != 200:
             failed = True
-            click.echo(at.told(door, status, body), err=True)
+            click.echo(at.told(address, status, body), err=True)
     sys.exit(failed)
--- a/yewrill/service.py
+++ b/yewrill/service.py
@@ -31,8 +31,8 @@
 if TYPE_CHECKING:
     from yewrill.fronts.progress import ProgressFront
     from yewrill.keeping import Keeper
-    from yewrill.net.door import Call, Door
     from yewrill.net.handover import HandOver
+    from yewrill.net.management import Call, ManagementListener
     from yewrill.traced import Traced
 
 log = logging.getLogger("yewrill")
@@ -115,11 +115,11 @@
         )
         self.hooks = hooks_of(config, around)
         self._attempt = around.attempt
-        self.door: Door | None = None
+        self.management: ManagementListener | None = None
         if config.mgmt is not None:
-            from yewrill.net.door import Door
+            from yewrill.net.management import ManagementListener
 
-            self.door = Door(config.mgmt, self._calls())
+            self.management = ManagementListener(config.mgmt, self._calls())
         self.traced: Traced | None = None  # told of every operation
         if config.tracing is not None:
             from yewrill.traced import Traced
@@ -172,9 +172,9 @@
                 nursery.start_soon(_keep, self.traced.exporter.run)
             nursery.start_soon(_keep, self.decisions.run, self.destinations.probe)
             nursery.start_soon(_keep, self.destinations.keep_tidy)
-            if self.door is not None:
-                nursery.start_soon(self.door.run)
-                log.info("door listen=%s:%d", *self.door.address)
+            if self.management is not None:
+                nursery.start_soon(self.management.run)
+                log.info("door listen=%s:%d", *self.management.address)
             for hook in self.hooks:
                 nursery.start_soon(_keep, hook.run)
             if listening is not None:
@@ -207,8 +207,8 @@
             await trio.to_thread.run_sync(self.keeper.close_store)
         if self.handover is not None:
             self.handover.close()
-        if self.door is not None:
-            self.door.close()
+        if self.management is not None:
+            self.management.close()
 
     async def _on_signal(
         self, nursery: trio.Nursery, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -391,7 +391,7 @@
     # -- what operators ask
 
     def _calls(self) -> dict[str, Call]:
-        from yewrill.net.door import Call
+        from yewrill.net.management import Call
 
         return {
             "/_ready": Call("GET", self._ready),
--- a/yewrill/tracing/export.py
+++ b/yewrill/tracing/export.py
@@ -344,7 +344,7 @@
             self._files.close()
 
     def figures(self) -> dict[str, int]:
-        """Counts by name, for the operators' door."""
+        """Counts by name, for the management listener."""
         found = {
             f"trace_{name}": count for name, count in (self._tracer.counts | self.counts).items()
         }
--- a/yewrill/views/__init__.py
+++ b/yewrill/views/__init__.py
@@ -6,6 +6,6 @@
 
 `machine.py` (pure) is one member's part, `inside.py` that within one view: `agreement.py` votes on the next
 one, `rollcall.py` renews the lease, `cut.py` judges who is out, `vouching.py` tells whom we vouch for,
-`admission.py` orders those that join, `founding.py` makes the first view, `rules.py` has the times. `format.py`
-has the bytes; `facade.py` is the hook. docs/views-design.md says why.
+`admission.py` orders those that join, `founding.py` makes the first view, `rules.py` has the times and
+`format.py` the bytes; `facade.py` is the hook. docs/views-design.md says why.
 """
--- a/yewrill/zones/commands.py
+++ b/yewrill/zones/commands.py
@@ -1,8 +1,8 @@
-"""`yewrill zones ...`: see the fleet's plan of zones, and order or forbid a leave, at dispatchers' doors.
+"""`yewrill zones ...`: see the fleet's plan of zones, and order or forbid a leave, at management listeners.
 
-An order holds at the dispatchers whose doors took it, until `return`; it stands above any plan, so it is
-given to all of them: nothing that one member says to others can stand in for an operator. Exit status: 0
-done everywhere, 1 at some doors only.
+An order holds at the dispatchers that took it, until `return`; it stands above any plan, so it is given to
+all of them: nothing that one member says to others can stand in for an operator. Exit status: 0 done
+everywhere, 1 at some only.
 """
 
 from __future__ import annotations
@@ -13,15 +13,16 @@
 import click
 import ujson
 
-from yewrill.doors import each, told
+from yewrill.management_client import each, told
 
-_doors = click.option(
-    "--door",
-    "doors",
+_addresses = click.option(
+    "--management",
+    "--door",  # its former name
+    "addresses",
     multiple=True,
     required=True,
     metavar="ADDRESS:PORT",
-    help="A dispatcher's door; give one for each.",
+    help="A dispatcher's management listener; give one for each.",
 )
 
 
@@ -31,20 +32,22 @@
 
 
 @zones.command()
-@_doors
-@click.option("--json", "as_json", is_flag=True, help="What each door said, as JSON.")
-def show(doors: tuple[str, ...], as_json: bool) -> None:
+@_addresses
+@click.option(
+    "--json", "as_json", is_flag=True, help="What each management listener said, as JSON."
+)
+def show(addresses: tuple[str, ...], as_json: bool) -> None:
     """The plan as each dispatcher holds it, and why."""
-    answers = each(doors, "GET", "/_zones")
-    plans = {door: ujson.loads(body) for door, status, body in answers if status == 200}
-    failed = [(door, status, body) for door, status, body in answers if status != 200]
+    answers = each(addresses, "GET", "/_zones")
+    plans = {address: ujson.loads(body) for address, status, body in answers if status == 200}
+    failed = [(address, status, body) for address, status, body in answers if status != 200]
     if as_json:
         click.echo(ujson.dumps(plans, indent=1))
     else:
-        for door, said in plans.items():
+        for address, said in plans.items():
             doubt = "  doubts itself" if said.get("own_doubt") else ""
             click.echo(
-                f"{door}  plan {said['plan']} {said.get('digest', '')}{doubt}  {said.get('why', '')}"
+                f"{address}  plan {said['plan']} {said.get('digest', '')}{doubt}  {said.get('why', '')}"
             )
             for zone in said["zones"]:
                 order = f"  order: {zone['order']}" if zone["order"] else ""
@@ -57,40 +60,40 @@
     _tell_failed(failed)
 
 
-def _order(order: str, zone: str, doors: tuple[str, ...]) -> None:
-    answers = each(doors, "PUT", f"/_zones/{order}?name={quote(zone, safe='')}")
+def _order(order: str, zone: str, addresses: tuple[str, ...]) -> None:
+    answers = each(addresses, "PUT", f"/_zones/{order}?name={quote(zone, safe='')}")
     click.echo(
-        f"{order} {zone}: {sum(status == 200 for _, status, _ in answers)} of {len(doors)} doors"
+        f"{order} {zone}: {sum(status == 200 for _, status, _ in answers)} of {len(addresses)} dispatchers"
     )
     _tell_failed([answer for answer in answers if answer[1] != 200])
 
 
 def _tell_failed(failed: list[tuple[str, int, bytes]]) -> None:
-    for door, status, body in failed:
-        click.echo(told(door, status, body), err=True)
+    for address, status, body in failed:
+        click.echo(told(address, status, body), err=True)
     if failed:
         sys.exit(1)
 
 
 @zones.command()
 @click.argument("zone")
-@_doors
-def leave(zone: str, doors: tuple[str, ...]) -> None:
+@_addresses
+def leave(zone: str, addresses: tuple[str, ...]) -> None:
     """Send nothing new to a zone, whatever the plan says."""
-    _order("leave", zone, doors)
+    _order("leave", zone, addresses)
 
 
 @zones.command()
 @click.argument("zone")
-@_doors
-def pin(zone: str, doors: tuple[str, ...]) -> None:
+@_addresses
+def pin(zone: str, addresses: tuple[str, ...]) -> None:
     """Never leave a zone by plan."""
-    _order("pin", zone, doors)
+    _order("pin", zone, addresses)
 
 
 @zones.command(name="return")
 @click.argument("zone")
-@_doors
-def bring_back(zone: str, doors: tuple[str, ...]) -> None:
+@_addresses
+def bring_back(zone: str, addresses: tuple[str, ...]) -> None:
     """Lift an order; a zone that is left by plan gets its whole share at once."""
-    _order("return", zone, doors)
+    _order("return", zone, addresses)
