--- a/yewrill/members/link.py
+++ b/yewrill/members/link.py
@@ -31,8 +31,8 @@
 
 # All that is on a timer happens in turns, at the same moments for all parts: a wake-up of the process costs
 # more than what is done in it. The socket is looked at in each turn, and not between them.
-LONGEST_TURN = 0.05  # seconds
-TURN_SHARE = 0.25  # of the time that an answer to a ping may take
+LONGEST_TURN = 0.075  # seconds
+TURN_SHARE = 0.375  # of the time that an answer to a ping may take
 LEAST_PAUSE = 1e-4
 
 
--- a/yewrill/views/rules.py
+++ b/yewrill/views/rules.py
@@ -23,7 +23,7 @@
     interval: float = 0.25
     slowest: float = 1.0
     constant: int = 24
-    growth: float = 0.6
+    growth: float = 0.65
     small: int = 100
     lease: float = 3.0  # the shortest
     silence: float = 1.75  # the shortest of an edge that counts against it
