--- a/yewrill/lab/scale/events.py
+++ b/yewrill/lab/scale/events.py
@@ -124,6 +124,7 @@
     fleet = WideFleet(seed, Fleet(dispatchers))
     fleet.begin()
     formed = fleet.form()
+    fleet.run(max(0.0, WINDOW_S + 1.0 - (FORM_LIMIT_S if formed is None else formed)))
     return {"formed_s": formed, "worst_10s": fleet.worst, "held_back": fleet.held_back}
 
 
