--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -22,6 +22,8 @@
 from collections import defaultdict
 from concurrent.futures import ProcessPoolExecutor
 
+import here  # noqa: F401
+
 from yewrill.lab.netsim import Path
 from yewrill.lab.viewnet import ViewNet
 
