--- a/yewrill/management_client.py
+++ b/yewrill/management_client.py
@@ -6,9 +6,21 @@
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 
+import click
+
 PATIENCE = 3.0  # seconds for a management listener to answer
 AT_ONCE = 32
 
+addresses_option = click.option(
+    "--management",
+    "--door",  # its former name
+    "addresses",
+    multiple=True,
+    required=True,
+    metavar="ADDRESS:PORT",
+    help="A dispatcher's management listener; give one for each.",
+)
+
 
 def call(address: str, method: str, target: str) -> tuple[int, bytes]:
     """The status and the body; 0 and the reason where nobody answers."""
--- a/yewrill/ownership/commands.py
+++ b/yewrill/ownership/commands.py
@@ -11,16 +11,6 @@
 
 from yewrill import management_client as at
 
-_addresses = click.option(
-    "--management",
-    "--door",  # its former name
-    "addresses",
-    multiple=True,
-    required=True,
-    metavar="ADDRESS:PORT",
-    help="A dispatcher's management listener; give one for each.",
-)
-
 
 @click.group()
 def owners() -> None:
@@ -40,7 +30,7 @@
 
 
 @owners.command(name="list")
-@_addresses
+@at.addresses_option
 def listed(addresses: tuple[str, ...]) -> None:
     """Each duty, its owner and number, as most of the management listeners know them."""
     told, whole = _ask(addresses)
@@ -57,7 +47,7 @@
 
 
 @owners.command()
-@_addresses
+@at.addresses_option
 def show(addresses: tuple[str, ...]) -> None:
     """What each dispatcher knows, and how the voters stand."""
     told, whole = _ask(addresses)
@@ -89,7 +79,7 @@
 
 @owners.command()
 @click.argument("duty")
-@_addresses
+@at.addresses_option
 def move(duty: str, addresses: tuple[str, ...]) -> None:
     """Have the owner, whichever of these dispatchers it is, give a duty up; another gets it."""
     failed = False
--- a/yewrill/zones/commands.py
+++ b/yewrill/zones/commands.py
@@ -13,17 +13,7 @@
 import click
 import ujson
 
-from yewrill.management_client import each, told
-
-_addresses = click.option(
-    "--management",
-    "--door",  # its former name
-    "addresses",
-    multiple=True,
-    required=True,
-    metavar="ADDRESS:PORT",
-    help="A dispatcher's management listener; give one for each.",
-)
+from yewrill.management_client import addresses_option, each, told
 
 
 @click.group()
@@ -32,7 +22,7 @@
 
 
 @zones.command()
-@_addresses
+@addresses_option
 @click.option(
     "--json", "as_json", is_flag=True, help="What each management listener said, as JSON."
 )
@@ -77,7 +67,7 @@
 
 @zones.command()
 @click.argument("zone")
-@_addresses
+@addresses_option
 def leave(zone: str, addresses: tuple[str, ...]) -> None:
     """Send nothing new to a zone, whatever the plan says."""
     _order("leave", zone, addresses)
@@ -85,7 +75,7 @@
 
 @zones.command()
 @click.argument("zone")
-@_addresses
+@addresses_option
 def pin(zone: str, addresses: tuple[str, ...]) -> None:
     """Never leave a zone by plan."""
     _order("pin", zone, addresses)
@@ -93,7 +83,7 @@
 
 @zones.command(name="return")
 @click.argument("zone")
-@_addresses
+@addresses_option
 def bring_back(zone: str, addresses: tuple[str, ...]) -> None:
     """Lift an order; a zone that is left by plan gets its whole share at once."""
     _order("return", zone, addresses)
