--- a/yewrill/lab/scale/virtual.py
+++ b/yewrill/lab/scale/virtual.py
@@ -61,7 +61,6 @@
     armed: float = math.inf
     known: int = -1  # changes of the list that its views were told of
     wakeups: int = 0
-    bytes_in: int = 0
 
     @property
     def datagrams_out(self) -> int:
@@ -182,7 +181,6 @@
         if node.dead:
             return
         node.wakeups += 1
-        node.bytes_in += len(data) + HEADERS
         self._put(node, node.transport.receive(self.now, data, source))
         self._settle(node)
 
@@ -256,12 +254,6 @@
             for view in views
         )
 
-    def in_view(self) -> int:
-        """How many hold a lease in the largest view that anybody holds one in."""
-        found = [view for node in self.living() if (view := self.holds(node.name)) is not None]
-        largest = max((len(view) for view in found), default=0)
-        return sum(len(view) == largest for view in found)
-
     @property
     def held_back(self) -> int:
         """Datagrams that their senders' budgets did not allow."""
