--- a/review/standins.py
+++ b/review/standins.py
@@ -359,6 +359,7 @@
 
     async def start(self) -> None:
         """Starts the process and waits until it is ready."""
+        self.config["seed"] = os.urandom(8).hex()  # new with each start
         self.write_config()
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             command = tomllib.load(file)["run"]
