Review: an ended run.sh ends its dispatchers, an error of a script is no finding

Cause: a run.sh ended by SIGTERM left a dispatcher running; an unexpected error in a script ended with 1, which says that the rule was broken. No check, bound or setting of a case changed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -24,7 +24,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Exit statuses of a case's program. `run.sh` turns BROKEN into 1 and all others but HELD into 2, since
+# Python itself ends with 1 where a program can't be read.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
 
@@ -434,6 +436,11 @@
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     dispatchers: list[Dispatcher] = []
 
+    # An end from outside ends the dispatchers too.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, frame: sys.exit(COULD_NOT_RUN))
+    status = COULD_NOT_RUN
+
     async def main() -> int:
         # Connections that are still open at the end of a case are no finding.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
@@ -442,9 +449,8 @@
 
     try:
         status = asyncio.run(main())
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except Exception as error:  # a fault of the case is no finding
         record.note("case", f"could not run: {type(error).__name__} {error}")
-        status = COULD_NOT_RUN
     finally:
         for dispatcher in dispatchers:
             dispatcher.kill()
