--- a/review/standins_2/kit.py
+++ b/review/standins_2/kit.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import importlib.util
 import json
 import os
 import signal
@@ -37,7 +38,8 @@
     """What was sent, answered and run, with the time since the start; written to `record.txt`."""
 
     def __init__(self, folder: Path):
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.path = folder / "record.txt"
+        self._file = self.path.open("w", encoding="utf-8")
         self._start = time.monotonic()
 
     def note(self, text: str) -> None:
@@ -342,8 +344,8 @@
             if not key.startswith(("BALANCER_", "YEWRILL_"))
         }
         environment |= {"BALANCER_CONFIG": str(path), "TMPDIR": str(case.shared)}
-        fallback = str(Path(__file__).resolve().parent / "fallback")
-        environment["PYTHONPATH"] = fallback
+        if importlib.util.find_spec("google_crc32c") is None:
+            environment["PYTHONPATH"] = str(Path(__file__).resolve().parent / "fallback")
         if inherited is not None:
             environment["BALANCER_INHERITED_FD"] = str(inherited)
         self._log = (case.temporary / f"{name}.log").open("wb")
