Review stand-ins: SIGTERM to a script ends what it started

Cause: a script ended by SIGTERM left its dispatcher running.

Change: the signal ends the script with status 2 by way of its closing part.

--- a/review/standins_2/kit.py
+++ b/review/standins_2/kit.py
@@ -440,6 +440,8 @@
 
 def play(folder: Path, scenario: Callable[[Case], Awaitable[int]], limit: float = 100.0) -> None:
     """Plays a scenario and exits with its result: 1 the rule was broken, 0 it held, 2 not run."""
+    # SIGTERM to the script still ends every process that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     case = Case(folder)
     result = NOT_RUN
 
