Keep the record of an attempt for the window of its own class

Callers saw: after SIGKILL and a new start with state.unsafe_window_ms below a keyed class's window, requests that were repeated within their window ran a second time in another rack.

Cause: expire_recovered and write_forwarded_record used the window of side-effect requests for every class.

Change: a recovered attempt has a window of its own, the longer of the one that its expiry in the store tells and the present one of its class. A forwarded record gets the window of its class. Stored form and messages between processes are unchanged.

--- /dev/null
+++ b/tests/test_attempt_windows.py
@@ -0,0 +1,122 @@
+"""Records of attempts are kept for the window of their own class, whatever the other settings are."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import ujson
+from fixture_stores import _endpoint_list, _request
+from helper import trio_test
+
+from yewrill.config.schema import StateConfig
+from yewrill.dispatch.request import Attempt
+from yewrill.observability.metrics import Metrics
+from yewrill.persistence import PersistentState
+from yewrill.persistence.attempts import AttemptRecord, Clocks
+from yewrill.persistence.clock import EXPIRY_MARGIN_MS
+from yewrill.policy.interface import RequestClass
+from yewrill.store import Batch
+
+WINDOW_MS = 5000.0  # of the class `save`
+WALL_MS = 4_102_444_800_000.0  # in the year 2100: the store must not expire the records
+
+
+class Run:
+    """One run of a dispatcher's persistent state, on a clock that a test sets."""
+
+    def __init__(self, path: Path, run_id: str, *, unsafe_window_ms=0.0, save: dict | None = None):
+        endpoints, classes = _endpoint_list()
+        self.classes: dict[str, RequestClass] = {
+            **classes,
+            "save": replace(classes["save"], **(save or {})),
+        }
+        self.now = 0.0
+        metrics = Metrics()
+        metrics.register_persistent_state()
+        self.state = PersistentState(
+            StateConfig(str(path), unsafe_window_ms=unsafe_window_ms, patience_ms=10_000.0),
+            endpoints,
+            metrics,
+            clocks=lambda: Clocks(WALL_MS + self.now, self.now, "boot"),
+            run_id=run_id,
+            request_classes=lambda: tuple(self.classes.values()),
+        )
+        self.state.open_store()
+        self.state.restore()
+
+    async def send(self, request_class: str, key: str) -> None:
+        request = _request(1, request_class, key)
+        self.state.attempts.begin_request(request, self.classes[request_class], "acme")
+        assert await self.state.attempts.record_attempt(Attempt(request, 0, "d1", 1e9))
+
+    def knows(self, request_class: str, key: str, at: float) -> bool:
+        self.now = at
+        self.state.attempts.expire_recovered()
+        request = _request(2, request_class, key)
+        self.state.attempts.begin_request(request, self.classes[request_class], "acme")
+        return request.earlier_attempt_age >= 0
+
+    def close(self) -> None:
+        self.state.close_store()
+
+
+@pytest.mark.parametrize("unsafe_window_ms", (0.0, 1000.0))
+@trio_test
+async def test_a_keyed_attempt_of_an_earlier_run_is_known_for_its_class_window(
+    tmp_path, unsafe_window_ms
+):
+    """Guards against forgetting it after the window of side-effect requests, as review/3 showed."""
+    first = Run(tmp_path, "first", unsafe_window_ms=unsafe_window_ms)
+    await first.send("save", "k")
+    first.close()
+    second = Run(tmp_path, "second", unsafe_window_ms=unsafe_window_ms)
+    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
+    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    second.close()
+
+
+@trio_test
+async def test_a_forwarded_record_stays_on_disk_for_its_class_window(tmp_path):
+    """Guards against a record of a hot restart that expires after the window of side-effect requests."""
+    run = Run(tmp_path, "old")
+    written: list[Batch] = []
+
+    async def write(batch: Batch) -> bool:
+        written.append(batch)
+        return True
+
+    run.state.attempts._write = write
+    record = AttemptRecord("save", "acme", "k", "d1", 0, 0, Clocks(WALL_MS, 0.0, "boot"))
+    value = ujson.dumps(record.encode())
+    assert await run.state.attempts.write_forwarded_record("sent/0/new/1", value)
+    assert written[0].ops[0].expires == int(WALL_MS + WINDOW_MS + EXPIRY_MARGIN_MS)
+    run.close()
+
+
+@trio_test
+async def test_a_record_is_kept_for_its_own_window_after_the_settings_have_shortened_it(tmp_path):
+    """Guards against judging an attempt by settings that came after it, by reload or at a later start."""
+    first = Run(tmp_path, "first")
+    await first.send("save", "k")
+    first.close()
+    second = Run(tmp_path, "second", save={"window": 1000.0})
+    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
+    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    second.close()
+
+
+@trio_test
+async def test_a_record_that_expires_too_early_on_disk_is_kept_for_its_class_window(tmp_path):
+    """Guards against forgetting early what an earlier version wrote for the new process of a hot restart."""
+    first = Run(tmp_path, "first")
+    record = AttemptRecord("save", "acme", "k", "d1", 0, 0, Clocks(WALL_MS, 0.0, "boot"))
+    value = ujson.dumps(record.encode()).encode()
+    expires = int(WALL_MS + EXPIRY_MARGIN_MS)  # a window of 0
+    first.state._disk.store.put(b"sent/0/earlier/1", value, expires)
+    first.close()
+    second = Run(tmp_path, "second")
+    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
+    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    second.close()
--- a/yewrill/persistence/attempt_journal.py
+++ b/yewrill/persistence/attempt_journal.py
@@ -10,7 +10,7 @@
 
 import hashlib
 import itertools
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -29,7 +29,7 @@
     retention_window_ms,
 )
 from yewrill.persistence.clock import EXPIRY_MARGIN_MS
-from yewrill.persistence.disk import Disk, Unreadable, log
+from yewrill.persistence.disk import Disk, StoredRecord, Unreadable, log
 from yewrill.policy.interface import NEVER_RAN, RequestClass
 from yewrill.store import Batch
 
@@ -43,9 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _RecoveredAttempt:
-    """An attempt of an earlier run, and the key of its record in the store."""
+    """An attempt of an earlier run, its retention window in ms, and the key of its record in the store."""
 
     record: AttemptRecord
+    window_ms: float
     key: bytes
 
 
@@ -78,14 +79,19 @@
         write: Callable[[Batch], Awaitable[bool]],
         clocks: Callable[[], Clocks],
         run_id: str,
+        request_classes: Callable[[], Sequence[RequestClass]] = tuple,
     ):
-        """`write` returns whether a batch is on disk; the keys of this run's records contain `run_id`."""
+        """`write` returns whether a batch is on disk; the keys of this run's records contain `run_id`.
+
+        `request_classes` returns the present settings of the request classes.
+        """
         self._disk = disk
         self._endpoints = endpoints
         self._non_idempotent_window_ms = non_idempotent_window_ms
         self._write = write
         self._clocks = clocks
         self._run_id = run_id
+        self._request_classes = request_classes
         self._keys_issued = 0
         self._recovered_attempts: dict[RequestIdentity, list[_RecoveredAttempt]] = {}
         self._requests: dict[Request, _TrackedRequest] = {}
@@ -106,15 +112,14 @@
         recovered: dict[RequestIdentity, list[_RecoveredAttempt]] = {}
         count = 0
         try:
-            for name, value in self._disk.records(ATTEMPT_PREFIX):
-                if f"/{self._run_id}/" in name:
+            for stored in self._disk.records(ATTEMPT_PREFIX):
+                if f"/{self._run_id}/" in stored.name:
                     # A record of this run, written for it by the run that had the store open before.
                     continue
                 with suppress(ValueError, TypeError, KeyError):
-                    record = AttemptRecord.decode(value)
-                    recovered.setdefault(record.identity, []).append(
-                        _RecoveredAttempt(record, ATTEMPT_PREFIX + name.encode())
-                    )
+                    recovered_attempt = self._recovered_attempt(stored)
+                    identity = recovered_attempt.record.identity
+                    recovered.setdefault(identity, []).append(recovered_attempt)
                     count += 1
                 if count == MAX_RECOVERED_ATTEMPTS:
                     log.warning("persistent_state_attempts_truncated attempts=%d", count)
@@ -125,8 +130,28 @@
         self.recovered = self._disk.store is not None
         return self.recovered
 
+    def _recovered_attempt(self, stored: StoredRecord) -> _RecoveredAttempt:
+        """Decodes a stored record. Raises KeyError, TypeError or ValueError.
+
+        The record's expiry tells the window that its class had when the attempt was sent. The workers that
+        got it may still detect duplicates by that window, or by the present one, so the longer one counts.
+        """
+        record = AttemptRecord.decode(stored.value)
+        window_ms = max(
+            stored.expires - EXPIRY_MARGIN_MS - record.at.wall,
+            self._class_window_ms(record.request_class) or 0.0,
+        )
+        return _RecoveredAttempt(record, window_ms, ATTEMPT_PREFIX + stored.name.encode())
+
+    def _class_window_ms(self, name: str) -> float | None:
+        """Returns a class's present retention window in ms, None if the settings lack the class."""
+        for request_class in self._request_classes():
+            if request_class.name == name:
+                return retention_window_ms(request_class, self._non_idempotent_window_ms)
+        return None
+
     def expire_recovered(self) -> None:
-        """Deletes earlier runs' attempts that are older than the retention window, in memory and on disk.
+        """Deletes earlier runs' attempts that are older than their retention windows, in memory and on disk.
 
         Each call checks up to EXPIRY_CHECKS_PER_ROUND requests.
         """
@@ -134,23 +159,21 @@
         oldest = list(itertools.islice(self._recovered_attempts, EXPIRY_CHECKS_PER_ROUND))
         for identity in oldest:
             attempts = self._recovered_attempts.pop(identity)
-            if any(
-                min_age_ms(recovered_attempt.record.at, now) <= self._non_idempotent_window_ms
-                for recovered_attempt in attempts
-            ):
+            if any(_within_window(recovered_attempt, now) for recovered_attempt in attempts):
                 # Moves the request to the end, so that the next call checks other requests first.
                 self._recovered_attempts[identity] = attempts
             else:
                 self._queue_deletions(recovered_attempt.key for recovered_attempt in attempts)
 
-    def _find_earlier_attempt(
-        self, identity: RequestIdentity, window_ms: float
-    ) -> EarlierAttempt | None:
+    def _find_earlier_attempt(self, identity: RequestIdentity) -> EarlierAttempt | None:
         attempts = self._recovered_attempts.get(identity)
         if attempts is None:
             return None
-        records = [recovered_attempt.record for recovered_attempt in attempts]
-        earlier = estimate_earlier_attempt(records, self._clocks(), window_ms)
+        earlier = estimate_earlier_attempt(
+            [recovered_attempt.record for recovered_attempt in attempts],
+            self._clocks(),
+            max(recovered_attempt.window_ms for recovered_attempt in attempts),
+        )
         if earlier is None:
             del self._recovered_attempts[identity]
             self._queue_deletions(recovered_attempt.key for recovered_attempt in attempts)
@@ -168,7 +191,7 @@
             return
         identity = RequestIdentity(spec.name, tenant, _idempotency_key(request))
         self._requests[request] = _TrackedRequest(identity, window_ms, self.recovered)
-        earlier = self._find_earlier_attempt(identity, window_ms)
+        earlier = self._find_earlier_attempt(identity)
         if earlier is None:
             return
         request.earlier_attempt_age = earlier.age_ms
@@ -227,9 +250,11 @@
             return False
         if not self.recovered or not key.startswith(ATTEMPT_PREFIX.decode()):
             return False
-        window_ms = self._non_idempotent_window_ms
-        if self._find_earlier_attempt(record.identity, window_ms) is not None:
+        if self._find_earlier_attempt(record.identity) is not None:
             return False
+        window_ms = self._class_window_ms(record.request_class)
+        if window_ms is None:  # the other process has other settings
+            window_ms = self._non_idempotent_window_ms
         return await self._write(
             Batch().put(key.encode(), value.encode(), _expiry(record, window_ms))
         )
@@ -279,6 +304,11 @@
         self._keys_to_delete = [*self._keys_to_delete, *keys][:MAX_PENDING_DELETIONS]
 
 
+def _within_window(recovered_attempt: _RecoveredAttempt, now: Clocks) -> bool:
+    """Returns whether an attempt may still be within its retention window."""
+    return min_age_ms(recovered_attempt.record.at, now) <= recovered_attempt.window_ms
+
+
 def _expiry(record: AttemptRecord, window_ms: float) -> int:
     return int(record.at.wall + window_ms + EXPIRY_MARGIN_MS)
 
--- a/yewrill/service/service.py
+++ b/yewrill/service/service.py
@@ -208,7 +208,12 @@
         from yewrill.persistence import PersistentState
 
         self.metrics.register_persistent_state()
-        return PersistentState(config.state, self.endpoints, self.metrics)
+        return PersistentState(
+            config.state,
+            self.endpoints,
+            self.metrics,
+            request_classes=lambda: self.front.reader.settings.classes,
+        )
 
     def _create_state_startup(self) -> StateStartup | None:
         if self.persistent_state is None:
