Reject messages of over 100 fields before the parser builds objects

Callers saw: beside clients that send heads of very many short fields the process passed its memory limit, and sound clients got 503 or nothing.

Cause: heads were bounded in bytes (16 KB) only. The parser builds several objects a field, some sixty times the bytes, and takes 10 ms for each head.

Change: MessageMeter counts the lines of heads and trailer fields as they arrive, before the parser gets them: 431 for clients (both listeners), a malformed answer for workers, a failed call for discovery.

--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -208,7 +208,7 @@
 
     def next_cycle(self) -> None:
         """Prepares for the next request, after the answer has been sent."""
-        self.http.parser.start_next_cycle()
+        self.http.next_cycle()
         self.answering = False
         self.idle_since = trio.current_time()
         # Input that was read ahead begins the next request, whose time limit runs from now.
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -7,6 +7,7 @@
 import h11
 
 from yewrill.net.connection import Connection
+from yewrill.net.message_limits import MessageMeter, TooManyFields
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
@@ -80,22 +81,64 @@
         raise BadRequest(400, "misspelt framing header")
 
 
+class MeteredParser:
+    """An h11 parser whose input is checked against the limits on messages before h11 builds objects of it."""
+
+    __slots__ = ("connection", "_meter")
+
+    def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER]):
+        """`role`: this side of the connection."""
+        self.connection = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._meter = MessageMeter()
+
+    def receive(self, data: bytes) -> None:
+        """Passes received bytes to the parser; empty at the end of the stream. Raises TooManyFields."""
+        self._meter.receive(data, self.connection.trailing_data[0])
+        self.connection.receive_data(data)
+
+    def next_event(self):
+        """Returns the next event, h11.NEED_DATA or h11.PAUSED.
+
+        Raises h11.RemoteProtocolError or TooManyFields.
+        """
+        if self._meter.may_end:
+            self._meter.check_trailer(self.connection.trailing_data[0])
+        event = self.connection.next_event()
+        self._meter.parsed(event)
+        return event
+
+    def next_cycle(self) -> None:
+        """Prepares for the next exchange, after both sides of this one are complete."""
+        self.connection.start_next_cycle()
+        self._meter.next_message()
+
+
 class ServerSide:
     """The server side of HTTP on one client connection: parses requests, encodes replies."""
 
-    __slots__ = ("parser",)
+    __slots__ = ("_input", "parser")
 
     def __init__(self) -> None:
-        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._input = MeteredParser(h11.SERVER)
+        self.parser = self._input.connection
 
     def feed(self, data: bytes) -> None:
-        """Passes received bytes to the parser."""
-        self.parser.receive_data(data)
+        """Passes received bytes to the parser. Raises BadRequest."""
+        try:
+            self._input.receive(data)
+        except TooManyFields as error:
+            raise BadRequest(431, str(error)) from None
+
+    def next_cycle(self) -> None:
+        """Prepares for the next request, after the answer."""
+        self._input.next_cycle()
 
     def next_event(self):
         """Returns the next event of the request, h11.NEED_DATA or h11.PAUSED. Raises BadRequest."""
         try:
-            return self.parser.next_event()
+            return self._input.next_event()
+        except TooManyFields as error:
+            raise BadRequest(431, str(error)) from None
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             status = status if status in (413, 431, 501) else 400
@@ -135,16 +178,17 @@
 class ClientSide:
     """The client side of HTTP on a connection to a worker or to discovery: one exchange at a time."""
 
-    __slots__ = ("connection", "parser")
+    __slots__ = ("connection", "_input", "parser")
 
     def __init__(self, connection: Connection):
         self.connection = connection
-        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._input = MeteredParser(h11.CLIENT)
+        self.parser = self._input.connection
 
     def encode(self, method: str, target: str, headers: list[tuple], body: bytes = b"") -> bytes:
         """Encodes a whole request."""
         if self.parser.our_state is h11.DONE:
-            self.parser.start_next_cycle()
+            self._input.next_cycle()
         send = self.parser.send
         data = send(h11.Request(method=method, target=target, headers=headers))
         if body:
@@ -154,17 +198,29 @@
     async def event(self):
         """Returns the next event of the response. Raises h11.RemoteProtocolError, OSError or PeerEnded."""
         while True:
-            event = self.parser.next_event()
+            event = self._next_event()
             if event is h11.NEED_DATA:
                 data = await self.connection.receive()
                 if not data and not self._body_ends_at_close():
                     raise PeerEnded
-                self.parser.receive_data(data)
+                self._feed(data)
             elif isinstance(event, h11.ConnectionClosed):
                 raise PeerEnded
             else:
                 return event
 
+    def _next_event(self):
+        try:
+            return self._input.next_event()
+        except TooManyFields as error:
+            raise h11.RemoteProtocolError(str(error)) from None
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._input.receive(data)
+        except TooManyFields as error:
+            raise h11.RemoteProtocolError(str(error)) from None
+
     def _body_ends_at_close(self) -> bool:
         """Whether the end of the stream may end the body, as in HTTP/1.0; h11 checks the framing itself."""
         return self.parser.their_state is h11.SEND_BODY and self.parser.their_http_version == b"1.0"
@@ -195,7 +251,7 @@
         parser = self.parser
         read = 0
         while parser.their_state is h11.SEND_BODY:
-            event = parser.next_event()
+            event = self._next_event()
             if event is h11.NEED_DATA:
                 # A worker that keeps sending after its answer must not block the event loop.
                 if (
@@ -206,7 +262,7 @@
                     return False
                 data = self.connection.inbound.take()
                 read += len(data)
-                parser.receive_data(data)
+                self._feed(data)
         return (
             parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
--- /dev/null
+++ b/yewrill/net/message_limits.py
@@ -0,0 +1,114 @@
+"""Limits on what one HTTP message costs, checked before the parser builds objects of it. No I/O.
+
+The parser builds several objects for each header field, so that a head of very short fields, within the
+limit on bytes, takes sixty times its size. A `MessageMeter` sees the received bytes before the parser does,
+and counts the lines of a head and of the trailer fields.
+"""
+
+from __future__ import annotations
+
+import re
+
+import h11
+
+# Number of header fields of a head, or of trailer fields of a chunked body.
+MAX_FIELDS = 100
+
+# The ends of a head: an empty line, in the two forms that the parser accepts.
+_HEAD_ENDS = (b"\n\r\n", b"\n\n")
+# The last chunk of a body, which the trailer fields follow. The end of the chunk before may precede it.
+_LAST_CHUNK = re.compile(rb"(?:\r\n)?0+[ \t]*(?:;[^\n]*)?\r\n")
+_HEAD_EVENTS = (h11.Request, h11.Response)
+
+
+class TooManyFields(Exception):
+    """A head, or the trailer fields of a body, has more than MAX_FIELDS lines."""
+
+
+class MessageMeter:
+    """Counts the fields of one message at a time, as its bytes arrive."""
+
+    __slots__ = (
+        "_in_head",
+        "_lines",
+        "_previous",
+        "_behind_head",
+        "_between_chunks",
+        "_in_trailer",
+    )
+
+    def __init__(self) -> None:
+        self.next_message()
+
+    def next_message(self) -> None:
+        """Prepares for the next message. All bytes of the previous one have been parsed."""
+        self._behind_head = b""
+        self._begin_head()
+
+    def _begin_head(self) -> None:
+        self._in_head = True
+        self._lines = 0
+        self._previous = b""  # the last bytes that were received: the end of the head may be split
+        # Whether the next chunk of a chunked body may be the last one, and whether it has been found.
+        self._between_chunks = self._in_trailer = False
+
+    def receive(self, data: bytes, unparsed: bytes) -> None:
+        """Counts received bytes before they are passed to the parser. Raises TooManyFields.
+
+        `unparsed` are the earlier bytes that the parser has not consumed yet.
+        """
+        if self._in_head:
+            self._receive_head(data)
+        elif self._in_trailer:
+            self._count_lines(data)
+        elif self._between_chunks:
+            self.check_trailer(unparsed + data)
+
+    def _receive_head(self, data: bytes) -> None:
+        joined = self._previous + data
+        end = _head_end(joined)
+        head = joined if end is None else joined[:end]
+        self._lines -= self._previous.count(b"\n")
+        # The request or status line and the empty line are not fields.
+        self._count_lines(head, MAX_FIELDS + 2)
+        self._previous = head[-2:]
+        self._behind_head = b""
+        if end is not None:
+            self._in_head = False
+            self._behind_head = joined[end:]
+
+    def _count_lines(self, data: bytes, limit: int = MAX_FIELDS + 1) -> None:
+        self._lines += data.count(b"\n")
+        if self._lines > limit:
+            raise TooManyFields(f"more than {MAX_FIELDS} fields")
+
+    @property
+    def may_end(self) -> bool:
+        """Whether the trailer fields of a chunked body may follow next."""
+        return self._between_chunks
+
+    def check_trailer(self, unparsed: bytes) -> None:
+        """Counts the trailer fields that the unparsed bytes contain, if any. Raises TooManyFields."""
+        last_chunk = _LAST_CHUNK.match(unparsed)
+        if last_chunk is not None:
+            self._between_chunks = False
+            self._in_trailer = True
+            self._lines = 0
+            self._count_lines(unparsed[last_chunk.end() :])
+
+    def parsed(self, event: object) -> None:
+        """Notes an event that the parser has returned. Raises TooManyFields."""
+        if isinstance(event, h11.InformationalResponse):
+            behind_head = self._behind_head
+            self._begin_head()
+            self._receive_head(behind_head)
+        elif isinstance(event, _HEAD_EVENTS):
+            self._between_chunks = any(name == b"transfer-encoding" for name, _ in event.headers)
+        elif isinstance(event, h11.Data):
+            self._between_chunks = event.chunk_end
+
+
+def _head_end(data: bytes) -> int | None:
+    """Returns the position behind the first empty line, None if there is none."""
+    ends = [at + len(end) for end in _HEAD_ENDS if (at := data.find(end)) >= 0]
+    return min(ends, default=None)
