Bound the bytes that all clients' requests hold together

Callers saw: a process passes its memory limit and is killed, with hundreds of clients that stop half way through large requests.

Cause: each request was bounded (64 KB), their sum was not: `limits.memory_mb` decided nothing.

Change: InputBudget, a quarter of memory_mb, charged with each read and given back when the request ends. Beyond it the unfinished request that began first gives way with 503. New at /_vars: app.input_bytes and app.unfinished_requests_evicted (the compatibility test lists them as added). RequestBuilder takes the building of a request out of the reading. The bytes of an attempt are no longer kept while its answer is awaited.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -359,6 +359,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def send_raw(harness: ServiceHarness, data: bytes) -> trio.SocketStream:
+    """Opens a client connection and sends bytes."""
+    stream = await trio.open_tcp_stream(*harness.service.listener.address)
+    await stream.send_all(data)
+    return stream
+
+
+async def receive_status(stream: trio.SocketStream) -> bytes:
+    """Returns the status of the next reply, and closes the connection."""
+    reply = await stream.receive_some()
+    await stream.aclose()
+    return reply[9:12]
+
+
 async def done(exchange: Exchange) -> None:
     await exchange.done()
 
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -356,10 +356,17 @@
 # -- the management listener
 
 ADDED_METRICS = [  # metrics that f4043a5 did not have
+    ["app.unfinished_requests_evicted", "c"],
     ["app.load_level_changes", "c"],
     *(
         [f"app.{name}", "g"]
-        for name in ("load_level", "gapped_levels", "drain_time_ms", "available_slots")
+        for name in (
+            "input_bytes",
+            "load_level",
+            "gapped_levels",
+            "drain_time_ms",
+            "available_slots",
+        )
     ),
     *(
         [f"app.{name}.{request_class}", "g"]
--- /dev/null
+++ b/tests/test_input_budget.py
@@ -0,0 +1,55 @@
+"""The input that all clients' requests hold together is bounded."""
+
+from __future__ import annotations
+
+from helper import ScriptedWorker, done, receive_status, running_service, send_raw, trio_test
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yewrill.net.input_budget import MIN_EVICTABLE_BYTES, BudgetExhausted, InputBudget
+
+HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 60_000)), max_size=60))
+def test_requests_never_hold_more_than_the_budget_and_the_oldest_gives_way(steps):
+    """Guards against a bound for each connection that adds up to more than the process may take."""
+    budget = InputBudget(100_000)
+    evicted: list[int] = []
+    held = [budget.request(lambda i=i: evicted.append(i)) for i in range(10)]
+    for i, count in steps:
+        before = [one.bytes for one in held]
+        del evicted[:]
+        try:
+            held[i].add(count)
+        except BudgetExhausted:
+            continue
+        assert 0 <= budget.held_bytes <= 100_000
+        assert evicted == sorted(evicted), "an older request was passed over"
+        assert all(before[one] >= MIN_EVICTABLE_BYTES for one in evicted)
+    for one in held:
+        one.release()
+    assert budget.held_bytes == 0
+
+
+@trio_test
+async def test_a_stalled_upload_gives_way_to_another_request_and_gets_503():
+    """Guards against clients that stop half way through large requests and fill the memory."""
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        budget = harness.service.listener.input_budget
+        budget.max_bytes = 150_000
+        upload = HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 40_000
+        stalled = []
+        for i in range(4):
+            expected = budget.held_bytes + 40_000 if i < 3 else 3 * 40_000
+            stalled.append(await send_raw(harness, upload % b"%d" % i))
+            await harness.wait_until(lambda least=expected: budget.held_bytes >= least)
+        assert await receive_status(stalled[0]) == b"503"
+        assert (await harness.ask(X_Request_ID="other")).status == 200
+        assert budget.evictions == 1
+        await stalled[3].send_all(b"x" * 25_536)
+        assert await receive_status(stalled[3]) == b"200"
+        for stream in stalled:
+            await stream.aclose()
+        await harness.wait_until(lambda: budget.held_bytes == 0)
--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -15,7 +15,8 @@
 from yewrill.dispatch.safety import CloseReason
 from yewrill.net.backlog import Accepted
 from yewrill.net.connection import Connection
-from yewrill.net.http import MAX_BODY_BYTES, BadRequest, HttpRequest, ServerSide, check_framing
+from yewrill.net.http import BadRequest, HttpRequest, RequestBuilder, ServerSide
+from yewrill.net.input_budget import BudgetExhausted, HeldInput, InputBudget
 
 SEND_TIMEOUT_SECONDS = 5.0  # time limit of one write to a client
 # The pause between two reads from a client whose input buffer is full: at least the minimum, longer the more
@@ -29,8 +30,10 @@
 
     overrunning_clients = 0  # number of connections, over all clients, whose input buffer is full
 
-    def __init__(self, connection: Connection):
+    def __init__(self, connection: Connection, budget: InputBudget):
         self.connection = connection
+        self._budget = budget
+        self._held: HeldInput | None = None  # the input that the current request holds
         self.http = ServerSide()
         self.request: Request | None = None
         self.on_left: Callable[[Request], None] = lambda request: None
@@ -159,39 +162,55 @@
 
     async def read_request(self) -> HttpRequest | None:
         """Returns the next complete request, None if the client has disconnected. Raises BadRequest."""
-        http_request: HttpRequest | None = None
-        body = bytearray()
+        with trio.CancelScope() as scope:
+            self._held = self._budget.request(scope.cancel)
+            http_request = await self._read_events(self._held)
+            self._held.finish()
+            return http_request
+        raise BadRequest(503, "too much unfinished input")
+
+    async def _read_events(self, held: HeldInput) -> HttpRequest | None:
+        builder = RequestBuilder()
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                if http_request is not None and self.http.parser.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(status_code=100, headers=())
-                    await self.connection.send(self.http.parser.send(continue_response))
-                data = await self.receive()
-                if not data:
+                if builder.request is not None:
+                    await self._send_continue()
+                if not await self._read_more(held):
                     return None
-                self.http.feed(data)
+            elif isinstance(event, h11.EndOfMessage):
+                return builder.finish()
             elif isinstance(event, h11.Request):
-                check_framing(event)
-                http_request = HttpRequest(
-                    event.method.decode("ascii"),
-                    event.target.decode("ascii"),
-                    list(event.headers),
-                    arrived=self.first_byte or trio.current_time(),
-                )
-                lengths = [value for name, value in event.headers if name == b"content-length"]
-                if lengths and int(lengths[0]) > MAX_BODY_BYTES:
-                    raise BadRequest(413, "body over 64 KiB")
+                builder.begin(event, arrived=self.first_byte or trio.current_time())
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    raise BadRequest(413, "body over 64 KiB")
-            elif isinstance(event, h11.EndOfMessage):
-                http_request.body = bytes(body)
-                return http_request
+                builder.add(event.data)
             else:  # h11.ConnectionClosed or h11.PAUSED: no request can follow
                 return None
 
+    async def _send_continue(self) -> None:
+        """Tells a client that waits for it that its body may follow."""
+        if self.http.parser.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=())
+            await self.connection.send(self.http.parser.send(continue_response))
+
+    async def _read_more(self, held: HeldInput) -> bool:
+        """Passes the next bytes to the parser; returns False if the client has disconnected."""
+        data = await self.receive()
+        if not data:
+            return False
+        try:
+            held.add(len(data))
+        except BudgetExhausted:
+            raise BadRequest(503, "too much unfinished input") from None
+        self.http.feed(data)
+        return True
+
+    def release_input(self) -> None:
+        """Gives back the bytes that the current request holds, after its answer or its end."""
+        if self._held is not None:
+            self._held.release()
+            self._held = None
+
     @asynccontextmanager
     async def reading_ahead(self, nursery: trio.Nursery) -> AsyncIterator[None]:
         """Reads ahead while the context is open."""
@@ -209,6 +228,7 @@
     def next_cycle(self) -> None:
         """Prepares for the next request, after the answer has been sent."""
         self.http.next_cycle()
+        self.release_input()
         self.answering = False
         self.idle_since = trio.current_time()
         # Input that was read ahead begins the next request, whose time limit runs from now.
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -11,6 +11,8 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
+# A request's head, its body, and as much framing.
+MAX_REQUEST_BYTES = 2 * (MAX_HEAD_BYTES + MAX_BODY_BYTES)
 
 
 class BadRequest(Exception):
@@ -81,6 +83,42 @@
         raise BadRequest(400, "misspelt framing header")
 
 
+class RequestBuilder:
+    """Builds one request from the parser's events."""
+
+    def __init__(self) -> None:
+        self.request: HttpRequest | None = None  # None before the head
+        self._body = bytearray()
+
+    def begin(self, event: h11.Request, arrived: float) -> None:
+        """Takes the head; `arrived` is when its first byte was read. Raises BadRequest."""
+        check_framing(event)
+        self.request = HttpRequest(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            list(event.headers),
+            arrived=arrived,
+        )
+        lengths = [value for name, value in event.headers if name == b"content-length"]
+        if lengths:
+            self._check_length(int(lengths[0]))
+
+    def add(self, data: bytes) -> None:
+        """Adds a part of the body. Raises BadRequest."""
+        self._body += data
+        self._check_length(len(self._body))
+
+    @staticmethod
+    def _check_length(length: int) -> None:
+        if length > MAX_BODY_BYTES:
+            raise BadRequest(413, "body over 64 KiB")
+
+    def finish(self) -> HttpRequest:
+        """Returns the request with its whole body."""
+        self.request.body = bytes(self._body)
+        return self.request
+
+
 class MeteredParser:
     """An h11 parser whose input is checked against the limits on messages before h11 builds objects of it."""
 
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -17,7 +17,8 @@
 from yewrill.net.backlog import Backlog
 from yewrill.net.client_connection import ClientConnection
 from yewrill.net.connection import OUT_OF_RESOURCES, Connection, IdleCheck
-from yewrill.net.http import BadRequest, HttpRequest, Reply
+from yewrill.net.http import MAX_REQUEST_BYTES, BadRequest, HttpRequest, Reply
+from yewrill.net.input_budget import InputBudget
 
 log = logging.getLogger("yewrill.clients")
 
@@ -66,8 +67,11 @@
         inherited: int | None = None,
         request_timeout: float | None = None,
         log_name: str = "clients",
+        input_budget: InputBudget | None = None,
         closed_unanswered: Callable[[ClientConnection], None] = lambda client: None,
     ):
+        """`input_budget` bounds the bytes that all requests hold; by default only each one is bounded."""
+        self.input_budget = input_budget or InputBudget(max_clients * MAX_REQUEST_BYTES)
         self._request_timeout = (
             REQUEST_TIMEOUT_SECONDS if request_timeout is None else request_timeout
         )
@@ -156,7 +160,7 @@
             self._failed_accepts = 0
         if accepted is None:
             return False
-        client = ClientConnection(Connection(accepted.sock))
+        client = ClientConnection(Connection(accepted.sock), self.input_budget)
         client.note_backlog_wait(accepted)
         self.clients.add(client)
         self._nursery.start_soon(self._serve, client)
@@ -188,6 +192,14 @@
         the reset would destroy that answer.
         """
         now = trio.current_time()
+        evicted = self._evictable(now)
+        for client in evicted:
+            client.disconnect(CloseReason.EVICTED)
+            self._forget(client)
+        return bool(evicted)
+
+    def _evictable(self, now: float) -> list[ClientConnection]:
+        """Returns the clients to evict, which are none if new clients have to wait."""
         newest_evictable = now - MIN_EVICTION_AGE_SECONDS
         answer_cutoff = now - client_connection.SEND_TIMEOUT_SECONDS
         silent = [c for c in self.clients if not c.has_sent_request and not c.answering]
@@ -195,22 +207,19 @@
             [c for c in silent if c.idle_since < newest_evictable], max(1, self._max_clients // 32)
         )
         if not evicted and len(silent) > self._max_clients // 8:
-            return False  # new clients wait until silent ones reach the eviction age
-        if not evicted:
-            evicted = self._longest_idle(
-                [
-                    c
-                    for c in self.clients
-                    if c.has_sent_request
-                    and c.idle
-                    and (c.idle_since < answer_cutoff or not c.connection.unacknowledged_bytes())
-                ],
-                1,
-            )
-        for client in evicted:
-            client.disconnect(CloseReason.EVICTED)
-            self._forget(client)
-        return bool(evicted)
+            return []  # new clients wait until silent ones reach the eviction age
+        if evicted:
+            return evicted
+        return self._longest_idle(
+            [
+                c
+                for c in self.clients
+                if c.has_sent_request
+                and c.idle
+                and (c.idle_since < answer_cutoff or not c.connection.unacknowledged_bytes())
+            ],
+            1,
+        )
 
     @staticmethod
     def _longest_idle(clients: list[ClientConnection], count: int) -> list[ClientConnection]:
@@ -309,6 +318,7 @@
             if not client.disconnected and client.owes_answer:
                 self._closed_unanswered(client)
             client.disconnect(reason)
+            client.release_input()
             self.closes[client.close_reason or reason] += 1
             log.debug(
                 "client_connection_closed connection=%d reason=%s", id(client), client.close_reason
--- a/yewrill/net/worker_client.py
+++ b/yewrill/net/worker_client.py
@@ -169,6 +169,7 @@
             await connection.http.connection.send(data)
         except OSError:
             return self._send_failed(attempt, connection), None
+        del data  # the wait for the answer may be long
         self._mark_written(attempt)
         try:
             return await self._read_answer(attempt, connection)
--- a/yewrill/service/metrics_report.py
+++ b/yewrill/service/metrics_report.py
@@ -58,6 +58,7 @@
         disabled = sum(not self._endpoints.may_send(name) or name in ejected for name in names)
         return {
             "concurrent": self._engine.pending,
+            "input_bytes": self._listener.input_budget.held_bytes,
             "targets": len(names),
             "targets_disabled": disabled,
         }
@@ -70,6 +71,7 @@
             **{f"held_back.{reason.name.lower()}": held_back[reason] for reason in HeldBack},
             **{f"closed.{reason.value}": closes[reason] for reason in CloseReason},
             "accept_failures": self._listener.accept_failures,
+            "unfinished_requests_evicted": self._listener.input_budget.evictions,
             "call_retries": Retries.total,
         }
 
--- a/yewrill/service/service.py
+++ b/yewrill/service/service.py
@@ -25,6 +25,7 @@
 from yewrill.frontends.platform import PlatformFront, RequestReader
 from yewrill.net.discovery import DiscoveryWatch
 from yewrill.net.endpoint_list import EndpointList
+from yewrill.net.input_budget import InputBudget
 from yewrill.net.listener import Listener
 from yewrill.net.worker_client import WorkerClient
 from yewrill.net.worker_connections import WorkerConnectionPool
@@ -58,6 +59,8 @@
 
 log = logging.getLogger("yewrill")
 
+# Fraction of the process's memory that the input of all clients' requests may take.
+INPUT_MEMORY_SHARE = 0.25
 # How long a new process waits for discovery before it serves with the old process's endpoint list.
 FIRST_LIST_TIMEOUT_SECONDS = 1.0
 # Number of event loop iterations at the end of the process in which pending signals are still received: two
@@ -119,6 +122,7 @@
         """Creates the components that answer clients. The socket listens from then on."""
         self.tracing_hooks = _create_tracing_hooks(config)
         operator_drain_state = OperatorDrainState()
+        input_budget = InputBudget(int(config.limits.memory_mb * INPUT_MEMORY_SHARE * 2**20))
         handler = RequestHandler(
             self.front,
             self.engine,
@@ -138,6 +142,7 @@
             max_client_sockets(config.limits.sockets),
             inherited=config.inherited_fd,
             closed_unanswered=handler.closed_unanswered,
+            input_budget=input_budget,
         )
         self.operator_drain = OperatorDrain(operator_drain_state, self.listener, self.tasks)
         self.subsystems = create_subsystems(config, self.subsystem_context)
