Give messages with much input turns at the event loop

Callers saw: beside one client whose body comes in chunks of a byte their answers took a second; beside eight most came never; beside hundreds of slow uploads most were 503.

Cause: read_request asks for event after event while input is at hand, 8 KB at a time, and the event loop runs all connections that can go on before it looks at the sockets again.

Change: a message with more than two reads or 32 parser events waits for a turn (input_turns): one goes on in each iteration of the event loop, in the order in which they asked. Replies to bad requests, and answers of workers and discovery with many events, take turns too. A connection that is closed in the queue leaves it.

--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -17,6 +17,7 @@
 from yewrill.net.connection import Connection
 from yewrill.net.http import BadRequest, HttpRequest, RequestBuilder, ServerSide
 from yewrill.net.input_budget import BudgetExhausted, HeldInput, InputBudget
+from yewrill.net.input_turns import InputWork, wait_for_turn
 
 SEND_TIMEOUT_SECONDS = 5.0  # time limit of one write to a client
 # The pause between two reads from a client whose input buffer is full: at least the minimum, longer the more
@@ -47,6 +48,7 @@
         self.first_byte = 0.0  # time at which the next request began to arrive; 0 if none has
         self.closing = False  # whether the connection is closing and further input is discarded
         self._idle_wait = trio.CancelScope()  # scope of the wait for the next request
+        self._turn_wait = trio.CancelScope()  # scope of the wait for a turn at the event loop
 
     def note_backlog_wait(self, accepted: Accepted) -> None:
         """Dates the first request back to its arrival in the backlog, if its data can be read already."""
@@ -117,8 +119,16 @@
             self.close_reason = reason
             if self.request is not None:
                 self.on_left(self.request)
+            self._turn_wait.cancel()
             self.connection.close()
 
+    async def wait_for_turn(self) -> bool:
+        """Waits for a turn at the event loop; returns False at once if the connection is closed meanwhile."""
+        self._turn_wait = trio.CancelScope()
+        with self._turn_wait:
+            await wait_for_turn()
+        return not self.disconnected
+
     @property
     def owes_answer(self) -> bool:
         """Whether a complete request has been read and no answer to it has begun."""
@@ -171,11 +181,14 @@
 
     async def _read_events(self, held: HeldInput) -> HttpRequest | None:
         builder = RequestBuilder()
+        work = InputWork()
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 if builder.request is not None:
                     await self._send_continue()
+                if work.read_needs_turn() and not await self.wait_for_turn():
+                    return None
                 if not await self._read_more(held):
                     return None
             elif isinstance(event, h11.EndOfMessage):
@@ -184,6 +197,8 @@
                 builder.begin(event, arrived=self.first_byte or trio.current_time())
             elif isinstance(event, h11.Data):
                 builder.add(event.data)
+                if work.event_needs_turn() and not await self.wait_for_turn():
+                    return None
             else:  # h11.ConnectionClosed or h11.PAUSED: no request can follow
                 return None
 
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -7,6 +7,7 @@
 import h11
 
 from yewrill.net.connection import Connection
+from yewrill.net.input_turns import InputWork, wait_for_turn
 from yewrill.net.message_limits import MessageMeter, TooManyFields
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -216,17 +217,19 @@
 class ClientSide:
     """The client side of HTTP on a connection to a worker or to discovery: one exchange at a time."""
 
-    __slots__ = ("connection", "_input", "parser")
+    __slots__ = ("_input", "_work", "connection", "parser")
 
     def __init__(self, connection: Connection):
         self.connection = connection
         self._input = MeteredParser(h11.CLIENT)
+        self._work = InputWork()
         self.parser = self._input.connection
 
     def encode(self, method: str, target: str, headers: list[tuple], body: bytes = b"") -> bytes:
         """Encodes a whole request."""
         if self.parser.our_state is h11.DONE:
             self._input.next_cycle()
+            self._work = InputWork()
         send = self.parser.send
         data = send(h11.Request(method=method, target=target, headers=headers))
         if body:
@@ -235,6 +238,8 @@
 
     async def event(self):
         """Returns the next event of the response. Raises h11.RemoteProtocolError, OSError or PeerEnded."""
+        if self._work.event_needs_turn():
+            await wait_for_turn()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
@@ -288,7 +293,10 @@
         """
         parser = self.parser
         read = 0
+        work = InputWork()
         while parser.their_state is h11.SEND_BODY:
+            if work.event_needs_turn():
+                return False  # the caller asks again later
             event = self._next_event()
             if event is h11.NEED_DATA:
                 # A worker that keeps sending after its answer must not block the event loop.
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -368,6 +368,9 @@
         if client.disconnected or not client.http.can_answer:
             return
         client.closing = True
+        # A flood of bad requests must not keep the other clients from the event loop.
+        if not await client.wait_for_turn():
+            return
         reply = Reply(bad.status, bad.text.encode() + b"\n", list(bad.headers))
         await client.send(client.http.encode_reply(reply, close=True))
         await self._linger(client, valid_request=bad.status >= 500)
