Do not look at every connection for each place of a full listener

Callers saw: with more clients than places, answers after one to two seconds, and 503.

Cause: _evict looks at each connection with a system call, some 2 ms for 541 of them, and was called again for each place that became free.

Change: after a scan that finds nobody to evict the next one waits 20 ms.

The new test fails without the pause.

--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -9,6 +9,7 @@
 from helper import ScriptedWorker, done, receive_status, running_service, send_raw, trio_test
 
 from yewrill.net import input_turns
+from yewrill.net.connection import Connection
 from yewrill.net.http import ClientSide, ServerSide
 from yewrill.net.input_turns import wait_for_turn
 
@@ -39,6 +40,25 @@
         self.calls.clear()
 
 
+@trio_test
+async def test_a_full_listener_does_not_look_at_every_client_for_each_place(monkeypatch):
+    """Guards against scans of all connections that take more time than the requests in a flood."""
+    work = WorkPerIteration()
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        await wait_for_turn()
+        async with input_turns._turn.get():  # uploads stay half read, so that none may be evicted
+            upload = HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 60_000
+            streams = [await send_raw(harness, upload % b"%d" % i) for i in range(20)]
+            listener = harness.service.listener
+            await harness.wait_until(lambda: len(listener.clients) == 20)
+            await trio.sleep(0.3)  # past the age at which silent clients may be evicted
+            work.count(monkeypatch, Connection, "check_idle")
+            assert not any(listener._evict() for _ in range(100))
+            assert work.calls["check_idle"] == len(streams)
+            for stream in streams:
+                await stream.aclose()
+
+
 @pytest.mark.parametrize("clients", (1, 12))
 @trio_test
 async def test_a_body_in_tiny_chunks_takes_a_bounded_part_of_each_iteration(clients, monkeypatch):
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -28,6 +28,8 @@
 REQUEST_TIMEOUT_SECONDS = 2.5
 # A connection that has not sent a request may be evicted for a new one after this time.
 MIN_EVICTION_AGE_SECONDS = 0.2
+# Time after a scan that found no client to evict until the next scan, which looks at every connection.
+EVICTION_SCAN_PAUSE_SECONDS = 0.02
 # Amount of input that is read and discarded after the last reply, so that the reply arrives; the rest is left
 # unread.
 LINGER_MAX_BYTES = 64 * 1024
@@ -91,6 +93,7 @@
         self.clients: set[ClientConnection] = set()
         self._capacity_freed = trio.Event()
         self._failed_accepts = 0  # number of consecutive failed accepts
+        self._next_eviction_scan = 0.0  # event loop time
         self._full_logged = False  # whether it was logged that no client can be evicted
         self._nursery: trio.Nursery
         self.accept_failures = 0
@@ -192,10 +195,14 @@
         the reset would destroy that answer.
         """
         now = trio.current_time()
+        if now < self._next_eviction_scan:
+            return False
         evicted = self._evictable(now)
         for client in evicted:
             client.disconnect(CloseReason.EVICTED)
             self._forget(client)
+        if not evicted:
+            self._next_eviction_scan = now + EVICTION_SCAN_PAUSE_SECONDS
         return bool(evicted)
 
     def _evictable(self, now: float) -> list[ClientConnection]:
