Refuse bodies whose framing far outweighs their data

Callers saw: a client with bodies of 60,000 chunks of one byte had the whole processor for itself, 0.7 s for each request.

Cause: the parser builds an event for each chunk, and only the bytes of data were bounded.

Change: MessageMeter counts the bytes of a body beside its data; more than 4 KB beyond the bytes of data are refused: 400 for clients, a malformed answer for workers.

The new test fails where the framing is not checked.

--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -10,7 +10,7 @@
 from helper import ScriptedWorker, done, running_service, trio_test
 
 from yewrill.net.http import BadRequest, ClientSide, ServerSide
-from yewrill.net.message_limits import MAX_FIELDS
+from yewrill.net.message_limits import MAX_EXCESS_FRAMING_BYTES, MAX_FIELDS
 
 SHORT_FIELD = b"a:\r\n"
 REQUEST_LINE = b"POST /tour HTTP/1.1\r\nHost: x\r\n"
@@ -129,3 +129,24 @@
         await harness.wait_until(lambda: discovery.answer is sound)
         assert harness.service.endpoints.may_send("d2")
         await harness.wait_until(lambda: not harness.service.endpoints.may_send("d2"))
+
+
+def test_a_body_whose_framing_far_outweighs_its_data_is_rejected():
+    """Guards against bodies in chunks of a byte, which take a parser event for each."""
+
+    def read(chunk: bytes, count: int) -> int:
+        side, received = ServerSide(), 0
+        data = CHUNKED + (b"%x\r\n%s\r\n" % (len(chunk), chunk)) * count + b"0\r\n\r\n"
+        for start in range(0, len(data), 1000):
+            side.feed(data[start : start + 1000])
+            while (event := side.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                received += len(event.data) if isinstance(event, h11.Data) else 0
+                if isinstance(event, h11.EndOfMessage):
+                    return received
+        raise AssertionError("no end")
+
+    assert read(b"x", MAX_EXCESS_FRAMING_BYTES // 4 - 10) == MAX_EXCESS_FRAMING_BYTES // 4 - 10
+    assert read(b"x" * 8, 8000) == 64_000
+    with pytest.raises(BadRequest) as rejected:
+        read(b"x", 60_000)
+    assert rejected.value.status == 400
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -8,7 +8,7 @@
 
 from yewrill.net.connection import Connection
 from yewrill.net.input_turns import InputWork, wait_for_turn
-from yewrill.net.message_limits import MessageMeter, TooManyFields
+from yewrill.net.message_limits import MessageMeter, MessageTooCostly, TooManyFields
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
@@ -131,14 +131,14 @@
         self._meter = MessageMeter()
 
     def receive(self, data: bytes) -> None:
-        """Passes received bytes to the parser; empty at the end of the stream. Raises TooManyFields."""
+        """Passes received bytes to the parser; empty at the end of the stream. Raises MessageTooCostly."""
         self._meter.receive(data, self.connection.trailing_data[0])
         self.connection.receive_data(data)
 
     def next_event(self):
         """Returns the next event, h11.NEED_DATA or h11.PAUSED.
 
-        Raises h11.RemoteProtocolError or TooManyFields.
+        Raises h11.RemoteProtocolError or MessageTooCostly.
         """
         if self._meter.may_end:
             self._meter.check_trailer(self.connection.trailing_data[0])
@@ -152,6 +152,10 @@
         self._meter.next_message()
 
 
+def _rejection(error: MessageTooCostly) -> BadRequest:
+    return BadRequest(431 if isinstance(error, TooManyFields) else 400, str(error))
+
+
 class ServerSide:
     """The server side of HTTP on one client connection: parses requests, encodes replies."""
 
@@ -165,8 +169,8 @@
         """Passes received bytes to the parser. Raises BadRequest."""
         try:
             self._input.receive(data)
-        except TooManyFields as error:
-            raise BadRequest(431, str(error)) from None
+        except MessageTooCostly as error:
+            raise _rejection(error) from None
 
     def next_cycle(self) -> None:
         """Prepares for the next request, after the answer."""
@@ -176,8 +180,8 @@
         """Returns the next event of the request, h11.NEED_DATA or h11.PAUSED. Raises BadRequest."""
         try:
             return self._input.next_event()
-        except TooManyFields as error:
-            raise BadRequest(431, str(error)) from None
+        except MessageTooCostly as error:
+            raise _rejection(error) from None
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             status = status if status in (413, 431, 501) else 400
@@ -255,13 +259,13 @@
     def _next_event(self):
         try:
             return self._input.next_event()
-        except TooManyFields as error:
+        except MessageTooCostly as error:
             raise h11.RemoteProtocolError(str(error)) from None
 
     def _feed(self, data: bytes) -> None:
         try:
             self._input.receive(data)
-        except TooManyFields as error:
+        except MessageTooCostly as error:
             raise h11.RemoteProtocolError(str(error)) from None
 
     def _body_ends_at_close(self) -> bool:
--- a/yewrill/net/message_limits.py
+++ b/yewrill/net/message_limits.py
@@ -1,8 +1,9 @@
 """Limits on what one HTTP message costs, checked before the parser builds objects of it. No I/O.
 
 The parser builds several objects for each header field, so that a head of very short fields, within the
-limit on bytes, takes sixty times its size. A `MessageMeter` sees the received bytes before the parser does,
-and counts the lines of a head and of the trailer fields.
+limit on bytes, takes sixty times its size. It builds an event for each chunk of a body, so that a body in
+chunks of one byte takes thousands of them. A `MessageMeter` sees the received bytes before the parser does.
+It counts the lines of a head and of the trailer fields, and the bytes of a body that are not its data.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 
 # Number of header fields of a head, or of trailer fields of a chunked body.
 MAX_FIELDS = 100
+# Number of bytes of framing that a body may have beyond the number of bytes of its data.
+MAX_EXCESS_FRAMING_BYTES = 4096
 
 # The ends of a head: an empty line, in the two forms that the parser accepts.
 _HEAD_ENDS = (b"\n\r\n", b"\n\n")
@@ -21,20 +24,30 @@
 _HEAD_EVENTS = (h11.Request, h11.Response)
 
 
-class TooManyFields(Exception):
+class MessageTooCostly(Exception):
+    """A message that exceeds a limit; the base of the classes below."""
+
+
+class TooManyFields(MessageTooCostly):
     """A head, or the trailer fields of a body, has more than MAX_FIELDS lines."""
 
 
+class TooMuchFraming(MessageTooCostly):
+    """The framing of a chunked body far outweighs its data."""
+
+
 class MessageMeter:
-    """Counts the fields of one message at a time, as its bytes arrive."""
+    """Counts the fields and the framing of one message at a time, as its bytes arrive."""
 
     __slots__ = (
-        "_in_head",
-        "_lines",
-        "_previous",
         "_behind_head",
         "_between_chunks",
+        "_body_bytes",
+        "_data_bytes",
+        "_in_head",
         "_in_trailer",
+        "_lines",
+        "_previous",
     )
 
     def __init__(self) -> None:
@@ -51,18 +64,28 @@
         self._previous = b""  # the last bytes that were received: the end of the head may be split
         # Whether the next chunk of a chunked body may be the last one, and whether it has been found.
         self._between_chunks = self._in_trailer = False
+        self._body_bytes = self._data_bytes = 0  # of the body: received, and found to be data
 
     def receive(self, data: bytes, unparsed: bytes) -> None:
-        """Counts received bytes before they are passed to the parser. Raises TooManyFields.
+        """Counts received bytes before they are passed to the parser. Raises MessageTooCostly.
 
-        `unparsed` are the earlier bytes that the parser has not consumed yet.
+        `unparsed` are the earlier bytes that the parser has not consumed yet. It has consumed all others.
         """
         if self._in_head:
             self._receive_head(data)
-        elif self._in_trailer:
+            return
+        if self._in_trailer:
             self._count_lines(data)
-        elif self._between_chunks:
+            return
+        if self._between_chunks:
             self.check_trailer(unparsed + data)
+        self._check_framing()
+        self._body_bytes += len(data)
+
+    def _check_framing(self) -> None:
+        framing_bytes = self._body_bytes - self._data_bytes
+        if framing_bytes > self._data_bytes + MAX_EXCESS_FRAMING_BYTES:
+            raise TooMuchFraming("body with far more framing than data")
 
     def _receive_head(self, data: bytes) -> None:
         joined = self._previous + data
@@ -76,6 +99,7 @@
         if end is not None:
             self._in_head = False
             self._behind_head = joined[end:]
+            self._body_bytes = len(self._behind_head)
 
     def _count_lines(self, data: bytes, limit: int = MAX_FIELDS + 1) -> None:
         self._lines += data.count(b"\n")
@@ -106,6 +130,7 @@
             self._between_chunks = any(name == b"transfer-encoding" for name, _ in event.headers)
         elif isinstance(event, h11.Data):
             self._between_chunks = event.chunk_end
+            self._data_bytes += len(event.data)
 
 
 def _head_end(data: bytes) -> int | None:
