Look for the end of a client behind its unread input before an attempt

Callers saw: requests of clients that had closed their connection with much still unread were sent on up to 0.4 s later.

Cause: the end lies behind the data. The watch reads 64 KB at a time, in pauses that grow with the number of such clients, and an attempt asks only whether the end has arrived.

Change: before an attempt's first byte the input of a client that has filled its buffer is discarded, in turns with other connections, until nothing comes for 20 ms or more has come than the kernels' buffers hold. Sound clients pay nothing for it.

--- a/yewrill/dispatch/request.py
+++ b/yewrill/dispatch/request.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -45,6 +45,8 @@
     on_progress: Callable[[Attempt, float], None] | None = None
     # Polls the connection and returns whether the client has left.
     poll_client_left: Callable[[], bool] | None = None
+    # Waits until `poll_client_left` would tell that the client has left by now.
+    settle_client_input: Callable[[], Awaitable[None]] | None = None
     trace: Any = None
     # The fields below are internal to the decision engine.
     key: str = ""  # unique key of the request; empty until it is submitted
--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -24,6 +24,12 @@
 # such clients there are. Their further input is read only to notice a disconnect, and discarded.
 MIN_OVERRUN_PAUSE_SECONDS = 0.02
 OVERRUN_PAUSE_PER_CLIENT_SECONDS = 0.0004
+# More bytes than the buffers of both kernels hold. A client from which more was read than that has not closed
+# before the first of them was read.
+MAX_IN_FLIGHT_BYTES = 16 * 1024 * 1024
+DISCARD_READS_PER_TURN = 4
+# Time without input after which all that a client has sent, and its end, has arrived.
+SETTLED_AFTER_SECONDS = 0.02
 
 
 class ClientConnection:
@@ -79,15 +85,47 @@
         finally:
             ClientConnection.overrunning_clients -= 1
 
-    def _drop_input(self) -> None:
+    def _drop_input(self) -> int:
+        """Reads once and discards; returns the number of bytes. Disconnects at the end of the stream."""
         self.input_dropped = True
         try:
             # The end of the stream may follow more data than one read returns; if the receive window is full,
             # only reading lets it arrive.
-            if self.connection.ended() or self.connection.discard_now() == 0:
+            if self.connection.ended() or (count := self.connection.discard_now()) == 0:
                 self.disconnect()
+                return 0
         except OSError:
             self.disconnect()
+            return 0
+        return count or 0
+
+    async def settle_input(self) -> None:
+        """Waits until the client's end would have been seen if the client had closed by now.
+
+        The end lies behind all that the client has sent. Where that was more than the input buffer holds, it
+        is read and discarded, in turns with other connections.
+        """
+        if self.connection.inbound.room:
+            return
+        discarded, settled = 0, False
+        while not self.disconnected and not settled and discarded < MAX_IN_FLIGHT_BYTES:
+            count = self._discard_available()
+            discarded += count
+            if count:
+                await self.wait_for_turn()
+            else:
+                await trio.sleep(SETTLED_AFTER_SECONDS)
+                settled = not self.disconnected and not self.connection.has_unread()
+
+    def _discard_available(self) -> int:
+        """Discards a bounded part of the available input; returns the number of bytes."""
+        discarded = 0
+        for _ in range(DISCARD_READS_PER_TURN):
+            count = self._drop_input()
+            if not count:
+                break
+            discarded += count
+        return discarded
 
     async def _fill(self) -> None:
         try:
--- a/yewrill/net/worker_client.py
+++ b/yewrill/net/worker_client.py
@@ -122,6 +122,8 @@
             attempt.trace.connected = trio.current_time()
         reusable = False
         try:
+            if attempt.request.settle_client_input is not None:
+                await attempt.request.settle_client_input()
             # Connecting took time: the rules are checked again directly before the first byte.
             if (held_back := self._check_may_send(attempt)) is not None:
                 reusable = True
--- a/yewrill/service/request_handler.py
+++ b/yewrill/service/request_handler.py
@@ -102,6 +102,7 @@
             True,
         )
         request.poll_client_left = client.has_left
+        request.settle_client_input = client.settle_input
         async with client.reading_ahead(self._tasks.nursery):
             if request.trace is not None:
                 bind_request(request.id, request.trace.context.trace)
