Remember attempts that may have run after their request has ended

Callers saw: a request whose client left ran a second time when it came again with the same id, or in another rack with the same key.

Cause: attempts were remembered while their request was open only; request_finished deleted the record although the attempt may have run.

A repeat of a side-effect request gets 502, a keyed one goes to its rack; what provably never ran may come again at once.

--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -356,11 +356,14 @@
 # -- the management listener
 
 ADDED_METRICS = [  # metrics that f4043a5 did not have
+    ["app.held_back.repeats_another", "c"],
     ["app.unfinished_requests_evicted", "c"],
+    ["app.attempts_forgotten", "c"],
     ["app.load_level_changes", "c"],
     *(
         [f"app.{name}", "g"]
         for name in (
+            "remembered_attempts",
             "input_bytes",
             "load_level",
             "gapped_levels",
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -507,6 +507,10 @@
             "rule_violations_total": 0,
             "accept_failures": 0,
             "call_retries": counts["call_retries"],  # a counter of the whole process
+            "unfinished_requests_evicted": 0,
+            "attempts_forgotten": 0,
+            "remembered_attempts": 0,
+            "input_bytes": 0,
             "concurrent": 0,
             "targets": 1,
             "targets_disabled": 0,
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,187 @@
+"""A request that may have run does not run again when it comes a second time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pytest
+import trio
+from helper import ScriptedWorker, done, running_service, trio_test
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from yewrill.dispatch.attempt_register import AttemptRegister, RequestIdentity, SentAttempt
+from yewrill.policy.interface import Idempotency, RequestClass
+from yewrill.store import Store
+
+WINDOW = 100.0
+MAX_ENTRIES = 6
+
+
+@dataclass(eq=False)
+class Sender:
+    """A request, by its identity alone."""
+
+    identity: RequestIdentity
+
+
+class RegisterMachine(RuleBasedStateMachine):
+    """Compares the register with a list of all attempts that were sent and their ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.register = AttemptRegister(MAX_ENTRIES)
+        self.now = 0.0
+        self.in_flight: dict[Sender, SentAttempt] = {}
+        self.may_have_run: dict[RequestIdentity, SentAttempt] = {}
+
+    @rule(step=st.floats(0.0, WINDOW / 3))
+    def pass_time(self, step):
+        self.now += step
+
+    @rule(name=st.sampled_from("abcdefgh"), cell=st.integers(0, 2), by_key=st.booleans())
+    def send(self, name, cell, by_key):
+        sender = Sender(RequestIdentity("c", "t", name))
+        kind = Idempotency.IDEMPOTENT_BY_KEY if by_key else Idempotency.NON_IDEMPOTENT
+        spec = RequestClass("c", 1.0, 1.0, idempotency=kind, group="cell", window=WINDOW)
+        known = self.register.find(sender.identity, self.now)
+        allowed = self.register.may_send(sender.identity, sender, spec, 0, cell)
+        assert allowed == (known is None or (by_key and known.cell == cell))
+        if allowed:
+            attempt = SentAttempt(self.now, self.now + WINDOW, 0, cell)
+            self.register.add(sender.identity, sender, attempt)
+            self.in_flight[sender] = attempt
+
+    @rule(at=st.integers(0, 5), ran=st.booleans())
+    def end(self, at, ran):
+        if at < len(self.in_flight):
+            sender = list(self.in_flight)[at]
+            attempt = self.in_flight.pop(sender)
+            self.register.ended(sender.identity, sender, ran=ran)
+            if ran:
+                self.may_have_run.setdefault(sender.identity, attempt)
+
+    @invariant()
+    def what_may_have_run_is_known_until_its_window_ends(self):
+        assert len(self.register) <= MAX_ENTRIES
+        for identity, attempt in self.may_have_run.items():
+            if attempt.until >= self.now and not self.register.forgotten:
+                assert self.register.find(identity, self.now) is not None
+
+
+RegisterMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestRegister = RegisterMachine.TestCase
+
+
+def test_a_full_register_forgets_what_ends_next_and_counts_it():
+    """Guards against memory that grows with the clients that leave, and against silent forgetting."""
+    register = AttemptRegister(3)
+    identities = [RequestIdentity("c", "t", str(i)) for i in range(5)]
+    for i, identity in enumerate(identities):
+        register.add(identity, identity, SentAttempt(float(i), 100.0 + i, 0, 0))
+    assert len(register) == 3 and register.forgotten == 2
+    assert [register.find(identity, 5.0) is not None for identity in identities] == [False] * 2 + [
+        True
+    ] * 3
+    for i in range(1000):  # removed entries leave no trace
+        sender = object()
+        register.add(
+            RequestIdentity("c", "t", f"never ran {i}"), sender, SentAttempt(6.0, 200.0, 0, 0)
+        )
+        register.ended(RequestIdentity("c", "t", f"never ran {i}"), sender, ran=False)
+    assert len(register._ends) <= 2 * 3 + 1
+
+
+async def leave(harness, worker_exchanges: list, target: str, **headers) -> None:
+    """Sends a request and leaves once a worker has it."""
+    client, before = await harness.client(), len(worker_exchanges)
+    await client.send(target, **headers)
+    await harness.wait_until(lambda: len(worker_exchanges) > before)
+    await client.stream.aclose()
+
+
+@pytest.mark.parametrize("state_dir", (False, True))
+@pytest.mark.parametrize("target", ("/once", "/save"))
+@trio_test
+async def test_a_request_that_comes_again_after_its_client_has_left_runs_once(
+    target, state_dir, tmp_path
+):
+    """Guards against an id, or a key, that runs twice because its first request has ended with its client."""
+    finish, ran = trio.Event(), []
+
+    def script(cell: int):
+        async def run(exchange) -> None:
+            ran.append((cell, exchange.headers.get("idempotency-key") or exchange.id))
+            await finish.wait()
+            await exchange.done()
+
+        return run
+
+    workers = [ScriptedWorker(f"d{i}", script(i), cell=i) for i in range(4)]
+    state = {"state_dir": str(tmp_path), "state": {"patience_ms": 5000}} if state_dir else {}
+    async with running_service(*workers, **state) as harness:
+        for i in range(6):
+            key = {"Idempotency_Key": f"k{i}"} if target == "/save" else {}
+            await leave(harness, ran, target, X_Request_ID=f"r{i}", **key)
+        finish.set()
+        await harness.wait_until(lambda: not harness.service.open_requests.ids)
+        first, ran[:] = list(ran), []
+        for i in range(6):
+            key = {"Idempotency_Key": f"k{i}"} if target == "/save" else {}
+            again = f"again{i}" if target == "/save" else f"r{i}"
+            reply = await harness.ask(target, X_Request_ID=again, **key)
+            assert reply.status == (200 if target == "/save" else 502)
+        assert ran == (first if target == "/save" else [])
+        if state_dir:
+            # The records stay on disk, as the clients have no result.
+            store = harness.service.persistent_state._disk.store
+            assert len(list(store.scan(prefix=b"sent/"))) >= 6
+            assert isinstance(store, Store)
+
+
+@trio_test
+async def test_a_request_that_was_turned_away_everywhere_may_come_again_at_once():
+    """Guards against a memory of attempts that never ran."""
+    turned_away = []
+
+    async def turn_away_first(exchange) -> None:
+        if len(turned_away) < 4:
+            turned_away.append(exchange)
+            await exchange.send_status(503, "X-Not-Processed: 1")
+        else:
+            await exchange.done()
+
+    async with running_service(ScriptedWorker("d1", turn_away_first)) as harness:
+        assert (await harness.ask("/once", X_Request_ID="r")).status == 503
+        await harness.wait_until(lambda: not harness.service.open_requests.ids)
+        turned_away += [None] * 4
+        assert not len(harness.service.repeat_guard.register)
+        assert (await harness.ask("/once", X_Request_ID="r")).status == 200
+
+
+@trio_test
+async def test_a_second_request_with_the_key_of_one_in_flight_is_not_sent():
+    """Guards against two requests of one key that are sent side by side."""
+    finish, worker = trio.Event(), ScriptedWorker("d1", done)
+
+    async def run(exchange) -> None:
+        await finish.wait()
+        await exchange.done()
+
+    worker.script = run
+    async with running_service(worker, ScriptedWorker("d2", run, cell=1)) as harness:
+        await leave(harness, worker.exchanges, "/tour", X_Request_ID="warm")
+        async with trio.open_nursery() as nursery:
+
+            async def first() -> None:
+                assert (
+                    await harness.ask("/once", X_Request_ID="a", Idempotency_Key="k")
+                ).status == 200
+
+            nursery.start_soon(first)
+            await harness.wait_until(lambda: len(harness.service.repeat_guard.register))
+            assert (await harness.ask("/once", X_Request_ID="b", Idempotency_Key="k")).status == 502
+            finish.set()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -19,8 +19,8 @@
 
 from yewrill.config.errors import ConfigError
 from yewrill.config.reading import read_config
+from yewrill.dispatch.attempt_register import LONG_AGO_MS
 from yewrill.persistence.attempts import (
-    LONG_AGO_MS,
     MAX_CLOCK_ADJUSTMENT_MS,
     AttemptRecord,
     Clocks,
--- a/yewrill/persistence/attempt_journal.py
+++ b/yewrill/persistence/attempt_journal.py
@@ -16,17 +16,20 @@
 
 import ujson
 
+from yewrill.dispatch.attempt_register import (
+    EarlierAttempt,
+    RequestIdentity,
+    idempotency_key,
+    retention_window_ms,
+)
 from yewrill.dispatch.outcome import AttemptOutcome
 from yewrill.dispatch.request import Attempt, Request
 from yewrill.net.endpoint_list import EndpointList
 from yewrill.persistence.attempts import (
     AttemptRecord,
     Clocks,
-    EarlierAttempt,
-    RequestIdentity,
     estimate_earlier_attempt,
     min_age_ms,
-    retention_window_ms,
 )
 from yewrill.persistence.clock import EXPIRY_MARGIN_MS
 from yewrill.persistence.disk import Disk, StoredRecord, Unreadable, log
@@ -43,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _RecoveredAttempt:
-    """An attempt of an earlier run, its retention window in ms, and the key of its record in the store."""
+    """An attempt of a request that has ended, its retention window in ms, and the key of its record.
+
+    The request is one of an earlier run, or one of this run whose client may not have the result.
+    """
 
     record: AttemptRecord
     window_ms: float
@@ -109,7 +115,11 @@
 
     def recover(self) -> bool:
         """Reads the records of earlier runs; returns whether all were read. Blocks."""
-        recovered: dict[RequestIdentity, list[_RecoveredAttempt]] = {}
+        recovered = {
+            identity: list(attempts)
+            for identity, attempts in self._recovered_attempts.items()
+            if f"/{self._run_id}/".encode() in attempts[0].key
+        }
         count = 0
         try:
             for stored in self._disk.records(ATTEMPT_PREFIX):
@@ -189,7 +199,7 @@
         window_ms = retention_window_ms(spec, self._non_idempotent_window_ms)
         if window_ms <= 0:
             return
-        identity = RequestIdentity(spec.name, tenant, _idempotency_key(request))
+        identity = RequestIdentity(spec.name, tenant, idempotency_key(request))
         self._requests[request] = _TrackedRequest(identity, window_ms, self.recovered)
         earlier = self._find_earlier_attempt(identity)
         if earlier is None:
@@ -265,11 +275,22 @@
         if tracked is not None and outcome.policy_outcome not in NEVER_RAN:
             tracked.may_have_run = True
 
-    def request_finished(self, request: Request) -> None:
-        """Queues the deletion of the record of a request that is answered and has no attempt in flight."""
+    def request_finished(self, request: Request, *, settled: bool = True) -> None:
+        """Ends the tracking of a request that has no attempt in flight, and queues its record for deletion.
+
+        `settled`: its client has the result. Otherwise, and if an attempt may have run, the record is kept
+        for its window, like those of earlier runs.
+        """
         tracked = self._requests.pop(request, None)
-        if tracked is not None and tracked.key:
+        if tracked is None or not tracked.key:
+            return
+        if settled or not tracked.may_have_run:
             self._queue_deletions([tracked.key])
+            return
+        record = AttemptRecord.decode(ujson.loads(tracked.value))
+        self._recovered_attempts.setdefault(tracked.identity, []).append(
+            _RecoveredAttempt(record, tracked.window_ms, tracked.key)
+        )
 
     # -- writing
 
@@ -311,8 +332,3 @@
 
 def _expiry(record: AttemptRecord, window_ms: float) -> int:
     return int(record.at.wall + window_ms + EXPIRY_MARGIN_MS)
-
-
-def _idempotency_key(request: Request) -> str:
-    """Returns what identifies a client's repeats of a request: the idempotency key, else the request id."""
-    return request.payload.single_header(b"idempotency-key") or request.id
--- a/yewrill/service/service.py
+++ b/yewrill/service/service.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from yewrill.config.schema import Config
+from yewrill.config.schema import UNSAFE_WINDOW_MS, Config
 from yewrill.dispatch.engine import DecisionEngine
 from yewrill.dispatch.lifecycle import AttemptRunner
 from yewrill.dispatch.outcome import AttemptOutcome
@@ -41,6 +41,7 @@
 from yewrill.service.open_requests import OpenRequests
 from yewrill.service.operator_drain import OperatorDrain, OperatorDrainState
 from yewrill.service.reload import Reloader, discovery_callers
+from yewrill.service.repeat_guard import RepeatGuard
 from yewrill.service.request_handler import RequestHandler
 from yewrill.service.run_state import RunState
 from yewrill.service.shutdown import GracefulShutdown
@@ -97,6 +98,12 @@
         if self.persistent_state is not None and self.hot_restart is not None:
             self.persistent_state.attempts.forward_record = self.hot_restart.store_in_old_process
         self.open_requests = OpenRequests(self.hot_restart)
+        self.repeat_guard = RepeatGuard(
+            self.endpoints,
+            self.engine.now,
+            UNSAFE_WINDOW_MS if config.state is None else config.state.unsafe_window_ms,
+            None if self.persistent_state is None else self.persistent_state.attempts,
+        )
         self.worker_connections = WorkerConnectionPool(
             self.endpoints,
             max_open=max_worker_sockets(config.limits.sockets),
@@ -109,13 +116,10 @@
             self.front,
             self.worker_connections,
             on_written=self.metrics.dispatched,
-            record_attempt=None
-            if self.persistent_state is None
-            else self.persistent_state.attempts.record_attempt,
+            record_attempt=self.repeat_guard.record_attempt,
+            may_repeat=self.repeat_guard.may_send,
         )
-        run_attempt: AttemptRunner = self.worker_client.run_attempt
-        if self.persistent_state is not None:
-            run_attempt = _with_outcome_records(self.worker_client, self.persistent_state)
+        run_attempt = _with_outcome_records(self.worker_client, self.repeat_guard)
         self.subsystem_context = SubsystemContext(self.engine, self.endpoints, run_attempt)
 
     def _make_listener(self, config: Config) -> None:
@@ -133,7 +137,7 @@
             open_requests=self.open_requests,
             metrics=self.metrics,
             tasks=self.tasks,
-            persistent_state=self.persistent_state,
+            repeat_guard=self.repeat_guard,
             tracing_hooks=self.tracing_hooks,
         )
         self.listener = Listener(
@@ -201,6 +205,7 @@
                 self.worker_client,
                 self.subsystems,
                 self.tracing_hooks,
+                self.repeat_guard,
             ),
             self.subsystems,
             persistent_state=self.persistent_state,
@@ -400,14 +405,12 @@
     )
 
 
-def _with_outcome_records(
-    worker_client: WorkerClient, persistent_state: PersistentState
-) -> AttemptRunner:
-    """Returns a runner of attempts that also finishes each attempt's persistent record with its outcome."""
+def _with_outcome_records(worker_client: WorkerClient, repeat_guard: RepeatGuard) -> AttemptRunner:
+    """Returns a runner of attempts that also notes each attempt's outcome for later repeats."""
 
     async def run_attempt(attempt: Attempt) -> tuple[AttemptOutcome, Any]:
         outcome, result = await worker_client.run_attempt(attempt)
-        persistent_state.attempts.attempt_finished(attempt, outcome)
+        repeat_guard.attempt_finished(attempt, outcome)
         return outcome, result
 
     return run_attempt
