Tell the other process of a hot restart of attempts that may have run

Callers saw: a request whose client left as an upgrade went on ran a second time when it came again at the new process.

Cause: the processes told each other of open ids only. These end with the request, and with the link when the old process exits.

Change: AttemptExchange sends the register when a link begins, before the state with which a new process serves, and then every attempt before its first byte and every identity that never ran. What was told stays known after the link. The lines are new ("attempts", "unsent"); a process of an earlier version ignores them. The compatibility fixture checks the stored lines as before and the added one by itself.

The two new tests fail where messages are not received, or not sent at the start of a link.

--- a/tests/fixture_service.py
+++ b/tests/fixture_service.py
@@ -167,23 +167,29 @@
 )
 
 
+ADDED_LINES = (b'{"attempts":', b'{"unsent":')
+
+
 class LinkEnd:
     """One end of the link, which sends and receives lines."""
 
     def __init__(self, stream: trio.SocketStream):
         self._stream, self._rest = stream, b""
+        self.added: list[bytes] = []  # received lines that the version of the fixture did not send
 
     async def send(self, *lines: bytes) -> None:
         await self._stream.send_all(b"".join(lines))
 
     async def receive(self, count: int) -> list[bytes]:
-        """Receives `count` lines, in their order of arrival."""
+        """Receives `count` lines, in their order of arrival, without added ones."""
         while self._rest.count(b"\n") < count:
             data = await self._stream.receive_some()
             assert data, "the link was closed"
             self._rest += data
         *lines, self._rest = self._rest.split(b"\n", count)
-        return [line + b"\n" for line in lines]
+        known = [line + b"\n" for line in lines if not line.startswith(ADDED_LINES)]
+        self.added += [line + b"\n" for line in lines if line.startswith(ADDED_LINES)]
+        return known + (await self.receive(count - len(known)) if len(known) < count else [])
 
     async def close(self) -> None:
         await self._stream.aclose()
@@ -288,6 +294,8 @@
                     await old_process.line.send(b'{"noted":2,"kept":true}\n')
                     received += await old_process.line.receive(1)
                 await old_process.line.close()
+            [sent] = old_process.line.added
+            assert sent.startswith(b'{"attempts":[["once","acme","r1",0,0,')
             nursery.cancel_scope.cancel()
         return [_normalized(received), first, then]
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -195,6 +195,81 @@
         assert (await (await harness.shared.client()).ask(X_Request_ID="r7")).status == 200
 
 
+@pytest.mark.parametrize("target", ("/once", "/save"))
+@pytest.mark.parametrize("at_new_process", (False, True))
+@trio_test
+async def test_a_request_that_ran_in_one_process_does_not_run_again_in_the_other(
+    target, at_new_process
+):
+    """Guards against an id, or a key, that runs twice at the other process of an upgrade."""
+    gate, ran = trio.Event(), []
+
+    def script(cell: int):
+        async def run(exchange) -> None:
+            ran.append((cell, exchange.headers.get("idempotency-key")))
+            await gate.wait()
+            await exchange.done()
+
+        return run
+
+    workers = [ScriptedWorker(f"d{i}", script(i), cell=i) for i in range(4)]
+    async with hot_restart_service(*workers) as harness:
+        old_clients = [await harness.shared.client() for _ in range(2 * 5)]
+        await harness.wait_until(lambda: len(harness.old_process.listener.clients) == 10)
+
+        async def send_and_leave(client: Client, i: int) -> None:
+            before = len(ran)
+            await client.send(target, X_Request_ID=f"r{i}", Idempotency_Key=f"k{i}")
+            await harness.wait_until(lambda: len(ran) > before)
+            await client.stream.aclose()
+
+        # Some attempts are in the first messages, the others follow.
+        for i in range(2):
+            await send_and_leave(old_clients[i], i)
+        new_process = await start_new_process(harness)
+        harness.old_process.listener.stop_accepting()
+        for i in range(2, 5):
+            client = await harness.shared.client() if at_new_process else old_clients[i]
+            await send_and_leave(client, i)
+        for process in (harness.old_process, new_process):
+            await harness.wait_until(lambda p=process: len(p.repeat_guard.register) == 5)
+        gate.set()
+        for process in (harness.old_process, new_process):
+            await harness.wait_until(lambda p=process: not p.open_requests.ids)
+        first, ran[:] = list(ran), []
+        if not at_new_process:
+            await harness.old_process.drain()
+        for i in range(5):
+            client = old_clients[5 + i] if at_new_process else await harness.shared.client()
+            reply = await client.ask(target, X_Request_ID=f"again{i}", Idempotency_Key=f"k{i}")
+            assert reply.status == (200 if target == "/save" else 502)
+        assert ran == (first if target == "/save" else [])
+
+
+@trio_test
+async def test_an_attempt_that_never_ran_may_be_made_by_the_other_process():
+    """Guards against an attempt that counts at the other process although it never ran."""
+    refused = []
+
+    async def turn_away_first(exchange) -> None:
+        if len(refused) < 4:
+            refused.append(exchange)
+            await exchange.send_status(503, "X-Not-Processed: 1")
+        else:
+            await exchange.done()
+
+    async with hot_restart_service(ScriptedWorker("d1", turn_away_first)) as harness:
+        client = await harness.shared.client()
+        await harness.wait_until(lambda: harness.old_process.listener.clients)
+        new_process = await start_new_process(harness)
+        harness.old_process.listener.stop_accepting()
+        assert (await client.ask("/once", X_Request_ID="r")).status == 503
+        refused += [None] * 4
+        await harness.wait_until(lambda: not len(new_process.repeat_guard.register))
+        await harness.wait_until(lambda: not new_process.hot_restart.open_elsewhere("r"))
+        assert (await (await harness.shared.client()).ask("/once", X_Request_ID="r")).status == 200
+
+
 @pytest.mark.parametrize("leftover", ["nobody", "silent", "not a socket"])
 @mock_clock_test
 async def test_a_leftover_path_or_a_silent_old_process_does_not_delay_a_start(leftover):
--- a/yewrill/service/hot_restart.py
+++ b/yewrill/service/hot_restart.py
@@ -125,6 +125,9 @@
 class PeerState(Protocol):
     """The state that the two processes share."""
 
+    def attempt_messages(self) -> Iterator[dict[str, Any]]:
+        """Yields the messages that tell of attempts that may have run, for any other process."""
+
     def snapshot(self) -> dict[str, Any]:
         """Returns the whole state, for a new process."""
 
@@ -226,9 +229,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write)
-                link.send(
-                    {"hello": 1} if link.old_process else {"state": self._peer_state.snapshot()}
-                )
+                self._greet(link)
                 async for message in link.messages():
                     self._receive(link, message)
                 nursery.cancel_scope.cancel()
@@ -247,6 +248,15 @@
         if not self._links:
             self._peer_state.disconnected()
 
+    def _greet(self, link: _Link) -> None:
+        """Sends the first messages. The attempts precede the state, with which a new process serves."""
+        if link.old_process:
+            link.send({"hello": 1})
+        for message in self._peer_state.attempt_messages():
+            link.send(message)
+        if not link.old_process:
+            link.send({"state": self._peer_state.snapshot()})
+
     def _receive(self, link: _Link, message: dict[str, Any]) -> None:
         if "open" in message:
             link.open_ids.add(str(message["open"]))
--- a/yewrill/service/service.py
+++ b/yewrill/service/service.py
@@ -103,6 +103,7 @@
             self.engine.now,
             UNSAFE_WINDOW_MS if config.state is None else config.state.unsafe_window_ms,
             None if self.persistent_state is None else self.persistent_state.attempts,
+            self.hot_restart,
         )
         self.worker_connections = WorkerConnectionPool(
             self.endpoints,
@@ -185,6 +186,7 @@
             self.operator_drain,
             self.open_requests,
             SocketBudget(config.limits.sockets, self.listener, self.worker_connections),
+            self.repeat_guard.exchange,
         )
         self.state_startup = self._create_state_startup()
 
