Spend less processor time on reading a message

Change: MeteredParser is the parser itself instead of one around it; the meter looks for the end of a head with find, and at header names only where a head may be chunked; the scope of the time limit of a request also serves its eviction; header values are looked up in a dict; h11's classes are compared by type.

--- a/yewrill/dispatch/attempt_register.py
+++ b/yewrill/dispatch/attempt_register.py
@@ -17,6 +17,8 @@
 
 # An age that is longer than every window in which workers detect duplicates.
 LONG_AGO_MS = 1e12
+# Module-level aliases: accessing a member through its enum class costs a function call in Python 3.11.
+_IDEMPOTENT, _IDEMPOTENT_BY_KEY, _NON_IDEMPOTENT = api.Idempotency
 # Some 500 bytes each.
 MAX_ENTRIES = 20_000
 
@@ -61,13 +63,11 @@
 
 def retention_window_ms(request_class: api.RequestClass, non_idempotent_window_ms: float) -> float:
     """Returns how long (ms) attempts of a request class are remembered; 0: they may simply be repeated."""
-    if request_class.idempotency == api.Idempotency.IDEMPOTENT_BY_KEY:
+    if request_class.idempotency == _IDEMPOTENT:
+        return 0.0
+    if request_class.idempotency == _IDEMPOTENT_BY_KEY:
         return request_class.window
-    return (
-        non_idempotent_window_ms
-        if request_class.idempotency == api.Idempotency.NON_IDEMPOTENT
-        else 0.0
-    )
+    return non_idempotent_window_ms
 
 
 def idempotency_key(request: Request) -> str:
@@ -116,7 +116,7 @@
         entry = self._entries.get(identity)
         if entry is None or not (entry.may_have_run or entry.senders - {request}):
             return True
-        if spec.idempotency == api.Idempotency.NON_IDEMPOTENT:
+        if spec.idempotency == _NON_IDEMPOTENT:
             return False
         if spec.group == "all":
             return True
--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -208,14 +208,15 @@
         await self.wait_readable()
         return b"" if self.disconnected else self.connection.inbound.take()
 
-    async def read_request(self) -> HttpRequest | None:
-        """Returns the next complete request, None if the client has disconnected. Raises BadRequest."""
-        with trio.CancelScope() as scope:
-            self._held = self._budget.request(scope.cancel)
-            http_request = await self._read_events(self._held)
-            self._held.finish()
-            return http_request
-        raise BadRequest(503, "too much unfinished input")
+    async def read_request(self, on_evicted: Callable[[], None]) -> HttpRequest | None:
+        """Returns the next complete request, None if the client has disconnected. Raises BadRequest.
+
+        `on_evicted` has to cancel the call: the request has to make room for another one.
+        """
+        self._held = self._budget.request(on_evicted)
+        http_request = await self._read_events(self._held)
+        self._held.finish()
+        return http_request
 
     async def _read_events(self, held: HeldInput) -> HttpRequest | None:
         builder = RequestBuilder()
@@ -229,11 +230,13 @@
                     return None
                 if not await self._read_more(held):
                     return None
-            elif isinstance(event, h11.EndOfMessage):
+                continue
+            kind = type(event)  # isinstance is slow for the parser's classes
+            if kind is h11.EndOfMessage:
                 return builder.finish()
-            elif isinstance(event, h11.Request):
+            if kind is h11.Request:
                 builder.begin(event, arrived=self.first_byte or trio.current_time())
-            elif isinstance(event, h11.Data):
+            elif kind is h11.Data:
                 builder.add(event.data)
                 if work.event_needs_turn() and not await self.wait_for_turn():
                     return None
@@ -258,6 +261,11 @@
         self.http.feed(data)
         return True
 
+    @property
+    def input_evicted(self) -> bool:
+        """Whether the request that was being read had to make room for another one."""
+        return self._held is not None and self._held.released
+
     def release_input(self) -> None:
         """Gives back the bytes that the current request holds, after its answer or its end."""
         if self._held is not None:
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 import h11
@@ -41,14 +42,25 @@
     arrived: float = 0.0  # time at which the first byte was read, in event loop time
     # The validated headers that are forwarded to the worker.
     forwarded_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    _values: dict[bytes, bytes] = field(init=False)
+    _repeated: set[bytes] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._values = dict(self.headers)
+        self._repeated = set()
+        if len(self._values) < len(self.headers):
+            counts = Counter(name for name, _ in self.headers)
+            self._repeated = {name for name, count in counts.items() if count > 1}
 
     def single_header(self, name: bytes) -> str | None:
         """Returns a header's value, None if absent. Raises BadRequest if it is repeated or not ASCII."""
-        found = [value for key, value in self.headers if key == name]
-        if len(found) > 1:
+        if name in self._repeated:
             raise BadRequest(400, f"duplicate header {name.decode()}")
+        value = self._values.get(name)
+        if value is None:
+            return None
         try:
-            return found[0].decode("ascii") if found else None
+            return value.decode("ascii")
         except UnicodeDecodeError:
             raise BadRequest(400, f"header {name.decode()} is not plain ASCII") from None
 
@@ -71,14 +83,14 @@
 _FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
 
 
-def check_framing(event: h11.Request) -> None:
+def check_framing(http_version: bytes, headers: list[tuple[bytes, bytes]]) -> None:
     """Rejects ambiguous framing (raises BadRequest), which could smuggle a second request in the body."""
-    if event.http_version not in (b"1.0", b"1.1"):
+    if http_version not in (b"1.0", b"1.1"):
         raise BadRequest(505, "unsupported HTTP version")
-    names = {name for name, _ in event.headers}
+    names = {name for name, _ in headers}
     if names >= _FRAMING_HEADERS:
         raise BadRequest(400, "Content-Length with Transfer-Encoding")
-    if b"transfer-encoding" in names and event.http_version == b"1.0":
+    if b"transfer-encoding" in names and http_version == b"1.0":
         raise BadRequest(400, "Transfer-Encoding in HTTP/1.0")
     if any(b"_" in name and name.replace(b"_", b"-") in _FRAMING_HEADERS for name in names):
         raise BadRequest(400, "misspelt framing header")
@@ -93,14 +105,15 @@
 
     def begin(self, event: h11.Request, arrived: float) -> None:
         """Takes the head; `arrived` is when its first byte was read. Raises BadRequest."""
-        check_framing(event)
+        headers = list(event.headers)  # iterating over the parser's own type is slow
+        check_framing(event.http_version, headers)
         self.request = HttpRequest(
             event.method.decode("ascii"),
             event.target.decode("ascii"),
-            list(event.headers),
+            headers,
             arrived=arrived,
         )
-        lengths = [value for name, value in event.headers if name == b"content-length"]
+        lengths = [value for name, value in headers if name == b"content-length"]
         if lengths:
             self._check_length(int(lengths[0]))
 
@@ -120,37 +133,39 @@
         return self.request
 
 
-class MeteredParser:
-    """An h11 parser whose input is checked against the limits on messages before h11 builds objects of it."""
+class MeteredParser(h11.Connection):
+    """A parser whose input is checked against the limits on messages before objects are built of it.
 
-    __slots__ = ("connection", "_meter")
+    Its methods raise MessageTooCostly beside the errors of h11.
+    """
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER]):
         """`role`: this side of the connection."""
-        self.connection = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
+        super().__init__(role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._meter = MessageMeter()
 
-    def receive(self, data: bytes) -> None:
-        """Passes received bytes to the parser; empty at the end of the stream. Raises MessageTooCostly."""
-        self._meter.receive(data, self.connection.trailing_data[0])
-        self.connection.receive_data(data)
+    def receive_data(self, data: bytes) -> None:
+        """Takes received bytes; empty at the end of the stream."""
+        self._meter.receive(data, self._unparsed)
+        super().receive_data(data)
 
     def next_event(self):
-        """Returns the next event, h11.NEED_DATA or h11.PAUSED.
-
-        Raises h11.RemoteProtocolError or MessageTooCostly.
-        """
+        """Returns the next event, h11.NEED_DATA or h11.PAUSED."""
         if self._meter.may_end:
-            self._meter.check_trailer(self.connection.trailing_data[0])
-        event = self.connection.next_event()
-        self._meter.parsed(event)
+            self._meter.check_trailer(self._unparsed())
+        event = super().next_event()
+        if event is not h11.NEED_DATA:
+            self._meter.parsed(event)
         return event
 
-    def next_cycle(self) -> None:
+    def start_next_cycle(self) -> None:
         """Prepares for the next exchange, after both sides of this one are complete."""
-        self.connection.start_next_cycle()
+        super().start_next_cycle()
         self._meter.next_message()
 
+    def _unparsed(self) -> bytes:
+        return self.trailing_data[0]
+
 
 def _rejection(error: MessageTooCostly) -> BadRequest:
     return BadRequest(431 if isinstance(error, TooManyFields) else 400, str(error))
@@ -159,27 +174,26 @@
 class ServerSide:
     """The server side of HTTP on one client connection: parses requests, encodes replies."""
 
-    __slots__ = ("_input", "parser")
+    __slots__ = ("parser",)
 
     def __init__(self) -> None:
-        self._input = MeteredParser(h11.SERVER)
-        self.parser = self._input.connection
+        self.parser = MeteredParser(h11.SERVER)
 
     def feed(self, data: bytes) -> None:
         """Passes received bytes to the parser. Raises BadRequest."""
         try:
-            self._input.receive(data)
+            self.parser.receive_data(data)
         except MessageTooCostly as error:
             raise _rejection(error) from None
 
     def next_cycle(self) -> None:
         """Prepares for the next request, after the answer."""
-        self._input.next_cycle()
+        self.parser.start_next_cycle()
 
     def next_event(self):
         """Returns the next event of the request, h11.NEED_DATA or h11.PAUSED. Raises BadRequest."""
         try:
-            return self._input.next_event()
+            return self.parser.next_event()
         except MessageTooCostly as error:
             raise _rejection(error) from None
         except h11.RemoteProtocolError as error:
@@ -221,18 +235,17 @@
 class ClientSide:
     """The client side of HTTP on a connection to a worker or to discovery: one exchange at a time."""
 
-    __slots__ = ("_input", "_work", "connection", "parser")
+    __slots__ = ("_work", "connection", "parser")
 
     def __init__(self, connection: Connection):
         self.connection = connection
-        self._input = MeteredParser(h11.CLIENT)
+        self.parser = MeteredParser(h11.CLIENT)
         self._work = InputWork()
-        self.parser = self._input.connection
 
     def encode(self, method: str, target: str, headers: list[tuple], body: bytes = b"") -> bytes:
         """Encodes a whole request."""
         if self.parser.our_state is h11.DONE:
-            self._input.next_cycle()
+            self.parser.start_next_cycle()
             self._work = InputWork()
         send = self.parser.send
         data = send(h11.Request(method=method, target=target, headers=headers))
@@ -258,13 +271,13 @@
 
     def _next_event(self):
         try:
-            return self._input.next_event()
+            return self.parser.next_event()
         except MessageTooCostly as error:
             raise h11.RemoteProtocolError(str(error)) from None
 
     def _feed(self, data: bytes) -> None:
         try:
-            self._input.receive(data)
+            self.parser.receive_data(data)
         except MessageTooCostly as error:
             raise h11.RemoteProtocolError(str(error)) from None
 
--- a/yewrill/net/listener.py
+++ b/yewrill/net/listener.py
@@ -393,8 +393,10 @@
         if not first and not await client.wait_for_request():
             return None
         began = client.opened_at if first else client.first_byte
-        with trio.move_on_at(began + self._request_timeout):
-            return await client.read_request()
+        with trio.move_on_at(began + self._request_timeout) as scope:
+            return await client.read_request(scope.cancel)
+        if client.input_evicted:
+            raise BadRequest(503, "too much unfinished input")
         raise BadRequest(408, "the request took too long")
 
     async def _linger(self, client: ClientConnection, valid_request: bool = True) -> None:
--- a/yewrill/net/message_limits.py
+++ b/yewrill/net/message_limits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 import h11
 
@@ -17,11 +18,9 @@
 # Number of bytes of framing that a body may have beyond the number of bytes of its data.
 MAX_EXCESS_FRAMING_BYTES = 4096
 
-# The ends of a head: an empty line, in the two forms that the parser accepts.
-_HEAD_ENDS = (b"\n\r\n", b"\n\n")
 # The last chunk of a body, which the trailer fields follow. The end of the chunk before may precede it.
+_CHUNKED = b"chunked"
 _LAST_CHUNK = re.compile(rb"(?:\r\n)?0+[ \t]*(?:;[^\n]*)?\r\n")
-_HEAD_EVENTS = (h11.Request, h11.Response)
 
 
 class MessageTooCostly(Exception):
@@ -47,6 +46,7 @@
         "_in_head",
         "_in_trailer",
         "_lines",
+        "_may_be_chunked",
         "_previous",
     )
 
@@ -61,15 +61,16 @@
     def _begin_head(self) -> None:
         self._in_head = True
         self._lines = 0
-        self._previous = b""  # the last bytes that were received: the end of the head may be split
+        self._previous = b""  # the last bytes of the head so far
+        self._may_be_chunked = False  # whether the word occurs in the head
         # Whether the next chunk of a chunked body may be the last one, and whether it has been found.
         self._between_chunks = self._in_trailer = False
         self._body_bytes = self._data_bytes = 0  # of the body: received, and found to be data
 
-    def receive(self, data: bytes, unparsed: bytes) -> None:
+    def receive(self, data: bytes, unparsed: Callable[[], bytes]) -> None:
         """Counts received bytes before they are passed to the parser. Raises MessageTooCostly.
 
-        `unparsed` are the earlier bytes that the parser has not consumed yet. It has consumed all others.
+        `unparsed` returns the earlier bytes that the parser has not consumed yet. It has consumed all others.
         """
         if self._in_head:
             self._receive_head(data)
@@ -78,7 +79,7 @@
             self._count_lines(data)
             return
         if self._between_chunks:
-            self.check_trailer(unparsed + data)
+            self.check_trailer(unparsed() + data)
         self._check_framing()
         self._body_bytes += len(data)
 
@@ -88,18 +89,20 @@
             raise TooMuchFraming("body with far more framing than data")
 
     def _receive_head(self, data: bytes) -> None:
-        joined = self._previous + data
+        joined = self._previous + data if self._previous else data
         end = _head_end(joined)
         head = joined if end is None else joined[:end]
-        self._lines -= self._previous.count(b"\n")
+        if self._previous:
+            self._lines -= self._previous.count(b"\n")
         # The request or status line and the empty line are not fields.
         self._count_lines(head, MAX_FIELDS + 2)
-        self._previous = head[-2:]
-        self._behind_head = b""
-        if end is not None:
-            self._in_head = False
-            self._behind_head = joined[end:]
-            self._body_bytes = len(self._behind_head)
+        self._may_be_chunked = self._may_be_chunked or _CHUNKED in head.lower()
+        if end is None:
+            self._previous = head[-len(_CHUNKED) :]
+            return
+        self._in_head = False
+        self._behind_head = joined[end:]
+        self._body_bytes = len(self._behind_head)
 
     def _count_lines(self, data: bytes, limit: int = MAX_FIELDS + 1) -> None:
         self._lines += data.count(b"\n")
@@ -122,18 +125,24 @@
 
     def parsed(self, event: object) -> None:
         """Notes an event that the parser has returned. Raises TooManyFields."""
-        if isinstance(event, h11.InformationalResponse):
+        kind = type(event)  # isinstance is slow for the parser's classes
+        if kind is h11.Data:
+            self._between_chunks = event.chunk_end
+            self._data_bytes += len(event.data)
+        elif kind is h11.InformationalResponse:
             behind_head = self._behind_head
             self._begin_head()
             self._receive_head(behind_head)
-        elif isinstance(event, _HEAD_EVENTS):
-            self._between_chunks = any(name == b"transfer-encoding" for name, _ in event.headers)
-        elif isinstance(event, h11.Data):
-            self._between_chunks = event.chunk_end
-            self._data_bytes += len(event.data)
+        elif kind is h11.Request or kind is h11.Response:
+            self._between_chunks = self._may_be_chunked and any(
+                name == b"transfer-encoding" for name, _ in event.headers
+            )
 
 
 def _head_end(data: bytes) -> int | None:
     """Returns the position behind the first empty line, None if there is none."""
-    ends = [at + len(end) for end in _HEAD_ENDS if (at := data.find(end)) >= 0]
-    return min(ends, default=None)
+    end = data.find(b"\n\r\n")
+    bare_end = data.find(b"\n\n", 0, len(data) if end < 0 else end)
+    if bare_end >= 0:
+        return bare_end + 2
+    return None if end < 0 else end + 3
