--- a/tests/test_attempt_windows.py
+++ b/tests/test_attempt_windows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from dataclasses import replace
 from pathlib import Path
 
@@ -11,6 +12,8 @@
 from helper import trio_test
 
 from yewrill.config.schema import StateConfig
+from yewrill.dispatch.attempt_register import MAX_ENTRIES
+from yewrill.dispatch.outcome import AttemptOutcome
 from yewrill.dispatch.request import Attempt
 from yewrill.observability.metrics import Metrics
 from yewrill.persistence import PersistentState
@@ -46,10 +49,22 @@
         self.state.open_store()
         self.state.restore()
 
-    async def send(self, request_class: str, key: str) -> None:
+    async def send(self, request_class: str, key: str) -> Attempt:
         request = _request(1, request_class, key)
         self.state.attempts.begin_request(request, self.classes[request_class], "acme")
-        assert await self.state.attempts.record_attempt(Attempt(request, 0, "d1", 1e9))
+        attempt = Attempt(request, 0, "d1", 1e9)
+        assert await self.state.attempts.record_attempt(attempt)
+        return attempt
+
+    def end_unsettled(self, attempt: Attempt) -> None:
+        """Ends a request whose attempt may have run and whose client has left."""
+        self.state.attempts.attempt_finished(attempt, AttemptOutcome.CANCELLED)
+        self.state.attempts.request_finished(attempt.request, settled=False)
+
+    def knows_until_its_window_ends(self, request_class: str, key: str) -> bool:
+        """Whether an attempt sent at time 0 is known for WINDOW_MS, not less and not longer."""
+        known = self.knows(request_class, key, at=WINDOW_MS - 1.0)
+        return known and not self.knows(request_class, key, at=WINDOW_MS + 1.0)
 
     def knows(self, request_class: str, key: str, at: float) -> bool:
         self.now = at
@@ -72,8 +87,7 @@
     await first.send("save", "k")
     first.close()
     second = Run(tmp_path, "second", unsafe_window_ms=unsafe_window_ms)
-    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
-    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    assert second.knows_until_its_window_ends("save", "k")
     second.close()
 
 
@@ -102,8 +116,7 @@
     await first.send("save", "k")
     first.close()
     second = Run(tmp_path, "second", save={"window": 1000.0})
-    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
-    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    assert second.knows_until_its_window_ends("save", "k")
     second.close()
 
 
@@ -117,6 +130,44 @@
     first.state._disk.store.put(b"sent/0/earlier/1", value, expires)
     first.close()
     second = Run(tmp_path, "second")
-    assert second.knows("save", "k", at=WINDOW_MS - 1.0)
-    assert not second.knows("save", "k", at=WINDOW_MS + 1.0)
+    assert second.knows_until_its_window_ends("save", "k")
     second.close()
+
+
+def count_records() -> int:
+    """The number of attempt records in memory."""
+    return sum(isinstance(item, AttemptRecord) for item in gc.get_objects())
+
+
+async def accept_write(_batch: Batch) -> bool:
+    return True
+
+
+@trio_test
+async def test_a_request_that_ends_while_the_records_are_read_is_known(tmp_path):
+    """Guards against records read in a thread that replace what the event loop has added meanwhile."""
+    run = Run(tmp_path, "new")
+    attempt = await run.send("save", "k")
+
+    def records(_prefix):
+        run.end_unsettled(attempt)
+        yield from ()
+
+    run.state._disk.records = records
+    assert run.state.attempts.recover()
+    assert run.knows_until_its_window_ends("save", "k")
+    run.close()
+
+
+@pytest.mark.parametrize("keys", (1, MAX_ENTRIES + 500))
+@trio_test
+async def test_attempts_whose_clients_left_are_held_in_bounded_memory(tmp_path, keys):
+    """Guards against a list of ended requests that grows for as long as the longest window."""
+    run = Run(tmp_path, "run")
+    run.state.attempts._write = accept_write
+    before = count_records()
+    for number in range(MAX_ENTRIES + 500):
+        run.end_unsettled(await run.send("save", f"k{number % keys}"))
+    assert count_records() - before <= min(keys, MAX_ENTRIES)
+    assert run.knows("save", "k0", at=WINDOW_MS - 1.0)
+    run.close()
