Allocate a connection's buffers only while they hold bytes

Cause: a connection had two buffers of 8 KB from its first to its last moment, idle or not.

Change: RingBuffer allocates when bytes are about to arrive and frees when it is empty; its capacity and its room are as before.

--- a/tests/test_input_budget.py
+++ b/tests/test_input_budget.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import gc
+import sys
+
 from helper import ScriptedWorker, done, receive_status, running_service, send_raw, trio_test
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from yewrill.net.connection import Connection
 from yewrill.net.input_budget import MIN_EVICTABLE_BYTES, BudgetExhausted, InputBudget
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
@@ -53,3 +57,31 @@
         for stream in stalled:
             await stream.aclose()
         await harness.wait_until(lambda: budget.held_bytes == 0)
+
+
+def buffer_bytes(*roots: object) -> int:
+    """The size of all bytes, bytearrays and what they are viewed by, that are reachable from objects."""
+    seen: dict[int, object] = {}
+    found = list(roots)
+    while found:
+        item = found.pop()
+        if id(item) not in seen and not isinstance(item, type):
+            seen[id(item)] = item
+            found.extend(gc.get_referents(item))
+    return sum(sys.getsizeof(item) for item in seen.values() if type(item) in (bytes, bytearray))
+
+
+@trio_test
+async def test_connections_between_two_requests_hold_no_buffers():
+    """Guards against 16 KB for each open connection, outside of the budget."""
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        client = await harness.client()
+        assert (await client.ask(X_Request_ID="a")).status == 200
+        clients = harness.service.listener.clients
+        await harness.wait_until(lambda: all(client.idle for client in clients))
+        connections = [
+            item for item in gc.get_objects() if type(item) is Connection and not item.closed
+        ]
+        assert len(connections) >= 2, "one of a client and one of a worker"
+        for connection in connections:
+            assert buffer_bytes(connection.inbound, connection.outbound) < 1024
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -151,11 +151,13 @@
         """Reads like `fill`, but without waiting; returns None if no data is available."""
         if self.closed:
             raise OSError("connection closed locally")
+        count = 0
         try:
             count = self.sock.recv_into(self.inbound.space())
         except BlockingIOError:
             return None
-        self.inbound.filled(count)
+        finally:
+            self.inbound.filled(count)
         return count
 
     def discard_now(self) -> int | None:
--- a/yewrill/net/ring.py
+++ b/yewrill/net/ring.py
@@ -1,16 +1,21 @@
-"""A ring buffer of fixed size; a connection has one per direction."""
+"""A ring buffer of fixed capacity; a connection has one per direction.
+
+Its memory is allocated when bytes arrive and freed when it is empty, so that an idle connection holds none.
+"""
 
 from __future__ import annotations
 
+_NOTHING = memoryview(b"")
+
 
 class RingBuffer:
     """Holds bytes between a socket and its reader or writer. Its capacity never grows."""
 
-    __slots__ = ("_data", "_view", "_head", "_size")
+    __slots__ = ("_capacity", "_view", "_head", "_size")
 
     def __init__(self, capacity: int):
-        self._data = bytearray(capacity)
-        self._view = memoryview(self._data)
+        self._capacity = capacity
+        self._view: memoryview | None = None  # of all the memory; None while nothing is allocated
         self._head = 0
         self._size = 0
 
@@ -20,26 +25,35 @@
     @property
     def room(self) -> int:
         """The number of free bytes."""
-        return len(self._data) - self._size
+        return self._capacity - self._size
 
     def space(self) -> memoryview:
-        """Returns the next contiguous free region; after writing into it, call `filled`."""
-        capacity = len(self._data)
-        tail = (self._head + self._size) % capacity
-        return self._view[tail : tail + min(self.room, capacity - tail)]
+        """Returns the next contiguous free region; after writing into it, call `filled`, also with 0."""
+        if self._view is None:
+            self._view = memoryview(bytearray(self._capacity))
+        tail = (self._head + self._size) % self._capacity
+        return self._view[tail : tail + min(self.room, self._capacity - tail)]
 
     def filled(self, count: int) -> None:
         """Adds the bytes that were written into `space`."""
         self._size += count
+        if not self._size:
+            self._view = None
 
     def pending(self) -> memoryview:
         """Returns the oldest contiguous bytes; after reading them, call `used`."""
-        return self._view[self._head : self._head + min(self._size, len(self._data) - self._head)]
+        if self._view is None:
+            return _NOTHING
+        return self._view[self._head : self._head + min(self._size, self._capacity - self._head)]
 
     def used(self, count: int) -> None:
         """Removes the bytes that were read from `pending`."""
         self._size -= count
-        self._head = (self._head + count) % len(self._data) if self._size else 0
+        if self._size:
+            self._head = (self._head + count) % self._capacity
+        else:
+            self._head = 0
+            self._view = None
 
     def put(self, data: bytes | memoryview) -> int:
         """Copies in as many bytes as fit; returns their number."""
