Free what followed a head once the head has been parsed

Cause: MessageMeter kept the rest of the read that held a head, up to 8 KB, until the next head, though it needs it only behind an informational response. With this, the first read was held twice.

Change: it is freed with the final head.

--- a/tests/test_input_budget.py
+++ b/tests/test_input_budget.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from yewrill.net.connection import Connection
+from yewrill.net.http import ServerSide
 from yewrill.net.input_budget import MIN_EVICTABLE_BYTES, BudgetExhausted, InputBudget
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
@@ -85,3 +86,12 @@
         assert len(connections) >= 2, "one of a client and one of a worker"
         for connection in connections:
             assert buffer_bytes(connection.inbound, connection.outbound) < 1024
+
+
+def test_a_parser_does_not_keep_what_followed_a_head():
+    """Guards against a second copy of the first 8 KB of a body, for as long as the connection lives."""
+    http = ServerSide()
+    http.feed(HEAD % b"a" + b"Content-Length: 20000\r\n\r\n" + b"x" * 8000)
+    for _ in range(3):
+        http.next_event()
+    assert buffer_bytes(vars(http.parser)["_meter"]) < 1024
--- a/yewrill/net/message_limits.py
+++ b/yewrill/net/message_limits.py
@@ -134,6 +134,7 @@
             self._begin_head()
             self._receive_head(behind_head)
         elif kind is h11.Request or kind is h11.Response:
+            self._behind_head = b""
             self._between_chunks = self._may_be_chunked and any(
                 name == b"transfer-encoding" for name, _ in event.headers
             )
