Free the body of an evicted request at once

Cause: an eviction gave the bytes back to the budget at once, but the body lived until the task that reads it had its turn; in one iteration of the event loop many are evicted.

Change: the eviction frees the body itself.

--- a/tests/test_input_budget.py
+++ b/tests/test_input_budget.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from yewrill.net.connection import Connection
-from yewrill.net.http import ServerSide
+from yewrill.net.http import RequestBuilder, ServerSide
 from yewrill.net.input_budget import MIN_EVICTABLE_BYTES, BudgetExhausted, InputBudget
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
@@ -95,3 +95,26 @@
     for _ in range(3):
         http.next_event()
     assert buffer_bytes(vars(http.parser)["_meter"]) < 1024
+
+
+@trio_test
+async def test_the_bodies_of_evicted_requests_are_freed_at_once():
+    """Guards against the bodies of all requests that were evicted in one iteration of the event loop."""
+    held: list[int] = []
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        budget = harness.service.listener.input_budget
+        budget.max_bytes = 100_000
+        make_room = budget._make_room
+
+        def make_room_and_measure(*args):
+            make_room(*args)
+            builders = [item for item in gc.get_objects() if type(item) is RequestBuilder]
+            held.append(sum(len(builder._body) for builder in builders))
+
+        budget._make_room = make_room_and_measure
+        upload = HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 40_000
+        streams = [await send_raw(harness, upload % b"%d" % i) for i in range(5)]
+        await harness.wait_until(lambda: budget.evictions >= 3)
+        assert max(held) <= budget.max_bytes
+        for stream in streams:
+            await stream.aclose()
--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -213,13 +213,18 @@
 
         `on_evicted` has to cancel the call: the request has to make room for another one.
         """
-        self._held = self._budget.request(on_evicted)
-        http_request = await self._read_events(self._held)
+        builder = RequestBuilder()
+
+        def evict() -> None:
+            builder.discard_body()
+            on_evicted()
+
+        self._held = self._budget.request(evict)
+        http_request = await self._read_events(builder, self._held)
         self._held.finish()
         return http_request
 
-    async def _read_events(self, held: HeldInput) -> HttpRequest | None:
-        builder = RequestBuilder()
+    async def _read_events(self, builder: RequestBuilder, held: HeldInput) -> HttpRequest | None:
         work = InputWork()
         while True:
             event = self.http.next_event()
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -122,6 +122,10 @@
         self._body += data
         self._check_length(len(self._body))
 
+    def discard_body(self) -> None:
+        """Frees the body; the request is not going to be finished."""
+        self._body = bytearray()
+
     @staticmethod
     def _check_length(length: int) -> None:
         if length > MAX_BODY_BYTES:
