Read messages with fewer calls: errors of limits are the parser's errors

Cause: a message over a limit was an exception of its own, so that each step of reading an answer went through a wrapper that translated it, and each step of a chunked body searched the unparsed bytes for the last chunk twice, as they arrived and before the parser had them.

Change: MessageTooCostly is an h11.RemoteProtocolError with its status (431, 400), as the parser's own errors are; ClientSide asks the parser directly, ServerSide translates in one place; the unparsed bytes are searched once. Replies, texts and outcomes are as before. test_input_turns counts the parser's own events in place of the wrapper's, which is at least as many.

--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -10,7 +10,7 @@
 
 from yewrill.net import input_turns
 from yewrill.net.connection import Connection
-from yewrill.net.http import ClientSide, ServerSide
+from yewrill.net.http import MeteredParser, ServerSide
 from yewrill.net.input_turns import wait_for_turn
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
@@ -121,8 +121,8 @@
 
     work = WorkPerIteration()
     async with running_service(ScriptedWorker("d1", answer)) as harness:
-        work.count(monkeypatch, ClientSide, "_next_event")
+        work.count(monkeypatch, MeteredParser, "next_event")
         trio.lowlevel.add_instrument(work)
         assert (await harness.ask()).body == b"y" * 800
         trio.lowlevel.remove_instrument(work)
-    assert work.most["_next_event"] <= MAX_EVENTS_PER_ITERATION
+    assert work.most["next_event"] <= MAX_EVENTS_PER_ITERATION
--- a/yewrill/net/client_connection.py
+++ b/yewrill/net/client_connection.py
@@ -293,7 +293,7 @@
 
     def next_cycle(self) -> None:
         """Prepares for the next request, after the answer has been sent."""
-        self.http.next_cycle()
+        self.http.parser.start_next_cycle()
         self.release_input()
         self.answering = False
         self.idle_since = trio.current_time()
--- a/yewrill/net/http.py
+++ b/yewrill/net/http.py
@@ -9,7 +9,7 @@
 
 from yewrill.net.connection import Connection
 from yewrill.net.input_turns import InputWork, wait_for_turn
-from yewrill.net.message_limits import MessageMeter, MessageTooCostly, TooManyFields
+from yewrill.net.message_limits import MessageMeter, MessageTooCostly
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
@@ -140,7 +140,7 @@
 class MeteredParser(h11.Connection):
     """A parser whose input is checked against the limits on messages before objects are built of it.
 
-    Its methods raise MessageTooCostly beside the errors of h11.
+    Its methods raise h11.RemoteProtocolError, of which MessageTooCostly is a subclass.
     """
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER]):
@@ -155,7 +155,7 @@
 
     def next_event(self):
         """Returns the next event, h11.NEED_DATA or h11.PAUSED."""
-        if self._meter.may_end:
+        if self._meter.must_check_trailer:
             self._meter.check_trailer(self._unparsed())
         event = super().next_event()
         if event is not h11.NEED_DATA:
@@ -171,8 +171,12 @@
         return self.trailing_data[0]
 
 
-def _rejection(error: MessageTooCostly) -> BadRequest:
-    return BadRequest(431 if isinstance(error, TooManyFields) else 400, str(error))
+def _rejection(error: h11.RemoteProtocolError) -> BadRequest:
+    """Returns the reply to a request that the parser has rejected."""
+    hint = error.error_status_hint
+    status = hint if hint in (413, 431, 501) else 400
+    text = str(error) if isinstance(error, MessageTooCostly) else f"malformed HTTP: {error}"
+    return BadRequest(status, text)
 
 
 class ServerSide:
@@ -187,23 +191,15 @@
         """Passes received bytes to the parser. Raises BadRequest."""
         try:
             self.parser.receive_data(data)
-        except MessageTooCostly as error:
+        except h11.RemoteProtocolError as error:
             raise _rejection(error) from None
 
-    def next_cycle(self) -> None:
-        """Prepares for the next request, after the answer."""
-        self.parser.start_next_cycle()
-
     def next_event(self):
         """Returns the next event of the request, h11.NEED_DATA or h11.PAUSED. Raises BadRequest."""
         try:
             return self.parser.next_event()
-        except MessageTooCostly as error:
-            raise _rejection(error) from None
         except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            status = status if status in (413, 431, 501) else 400
-            raise BadRequest(status, f"malformed HTTP: {error}") from None
+            raise _rejection(error) from None
 
     def encode_reply(self, reply: Reply, close: bool) -> bytes:
         """Encodes a complete reply with its Content-Length."""
@@ -262,29 +258,17 @@
         if self._work.event_needs_turn():
             await wait_for_turn()
         while True:
-            event = self._next_event()
+            event = self.parser.next_event()
             if event is h11.NEED_DATA:
                 data = await self.connection.receive()
                 if not data and not self._body_ends_at_close():
                     raise PeerEnded
-                self._feed(data)
+                self.parser.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 raise PeerEnded
             else:
                 return event
 
-    def _next_event(self):
-        try:
-            return self.parser.next_event()
-        except MessageTooCostly as error:
-            raise h11.RemoteProtocolError(str(error)) from None
-
-    def _feed(self, data: bytes) -> None:
-        try:
-            self.parser.receive_data(data)
-        except MessageTooCostly as error:
-            raise h11.RemoteProtocolError(str(error)) from None
-
     def _body_ends_at_close(self) -> bool:
         """Whether the end of the stream may end the body, as in HTTP/1.0; h11 checks the framing itself."""
         return self.parser.their_state is h11.SEND_BODY and self.parser.their_http_version == b"1.0"
@@ -318,7 +302,7 @@
         while parser.their_state is h11.SEND_BODY:
             if work.event_needs_turn():
                 return False  # the caller asks again later
-            event = self._next_event()
+            event = parser.next_event()
             if event is h11.NEED_DATA:
                 # A worker that keeps sending after its answer must not block the event loop.
                 if (
@@ -329,7 +313,7 @@
                     return False
                 data = self.connection.inbound.take()
                 read += len(data)
-                self._feed(data)
+                parser.receive_data(data)
         return (
             parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
--- a/yewrill/net/message_limits.py
+++ b/yewrill/net/message_limits.py
@@ -18,18 +18,21 @@
 # Number of bytes of framing that a body may have beyond the number of bytes of its data.
 MAX_EXCESS_FRAMING_BYTES = 4096
 
-# The last chunk of a body, which the trailer fields follow. The end of the chunk before may precede it.
 _CHUNKED = b"chunked"
+# The last chunk of a body, which the trailer fields follow. The end of the chunk before may precede it.
 _LAST_CHUNK = re.compile(rb"(?:\r\n)?0+[ \t]*(?:;[^\n]*)?\r\n")
 
 
-class MessageTooCostly(Exception):
+class MessageTooCostly(h11.RemoteProtocolError):
     """A message that exceeds a limit; the base of the classes below."""
 
 
 class TooManyFields(MessageTooCostly):
     """A head, or the trailer fields of a body, has more than MAX_FIELDS lines."""
 
+    def __init__(self) -> None:
+        super().__init__(f"more than {MAX_FIELDS} fields", error_status_hint=431)
+
 
 class TooMuchFraming(MessageTooCostly):
     """The framing of a chunked body far outweighs its data."""
@@ -48,6 +51,7 @@
         "_lines",
         "_may_be_chunked",
         "_previous",
+        "must_check_trailer",
     )
 
     def __init__(self) -> None:
@@ -65,6 +69,8 @@
         self._may_be_chunked = False  # whether the word occurs in the head
         # Whether the next chunk of a chunked body may be the last one, and whether it has been found.
         self._between_chunks = self._in_trailer = False
+        # Whether the unparsed bytes have yet to be searched for the last chunk.
+        self.must_check_trailer = False
         self._body_bytes = self._data_bytes = 0  # of the body: received, and found to be data
 
     def receive(self, data: bytes, unparsed: Callable[[], bytes]) -> None:
@@ -107,15 +113,11 @@
     def _count_lines(self, data: bytes, limit: int = MAX_FIELDS + 1) -> None:
         self._lines += data.count(b"\n")
         if self._lines > limit:
-            raise TooManyFields(f"more than {MAX_FIELDS} fields")
-
-    @property
-    def may_end(self) -> bool:
-        """Whether the trailer fields of a chunked body may follow next."""
-        return self._between_chunks
+            raise TooManyFields
 
     def check_trailer(self, unparsed: bytes) -> None:
         """Counts the trailer fields that the unparsed bytes contain, if any. Raises TooManyFields."""
+        self.must_check_trailer = False
         last_chunk = _LAST_CHUNK.match(unparsed)
         if last_chunk is not None:
             self._between_chunks = False
@@ -127,7 +129,7 @@
         """Notes an event that the parser has returned. Raises TooManyFields."""
         kind = type(event)  # isinstance is slow for the parser's classes
         if kind is h11.Data:
-            self._between_chunks = event.chunk_end
+            self._between_chunks = self.must_check_trailer = event.chunk_end
             self._data_bytes += len(event.data)
         elif kind is h11.InformationalResponse:
             behind_head = self._behind_head
@@ -135,9 +137,9 @@
             self._receive_head(behind_head)
         elif kind is h11.Request or kind is h11.Response:
             self._behind_head = b""
-            self._between_chunks = self._may_be_chunked and any(
-                name == b"transfer-encoding" for name, _ in event.headers
-            )
+            if self._may_be_chunked:
+                chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
+                self._between_chunks = self.must_check_trailer = chunked
 
 
 def _head_end(data: bytes) -> int | None:
