Do not take the data of a chunk for the last chunk

Seen: by reading. A request whose chunk header arrives in a read of its own, and whose data begins like a last chunk (0 and an end of line) and has over 100 lines, got 431; a worker's answer of that form counted as malformed.

Cause: the meter looked for the last chunk until the parser returned the chunk's data; the parser consumes a header as soon as it is complete, so the data that came next stood where a header may.

Change: a complete chunk header, of whatever size, ends the search until that chunk's end.

--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -74,6 +74,16 @@
     assert isinstance(read_events(ServerSide(), pieces(head + lines, seed))[-1], h11.EndOfMessage)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_data_that_arrives_after_its_chunk_header_is_no_trailer(seed):
+    """Guards against taking data for the last chunk, where the chunk's header came in a read of its own."""
+    data = b"0\r\n" + b"line\n" * 2 * MAX_FIELDS
+    head = [CHUNKED, b"%x\r\n" % len(data)]
+    events = read_events(ServerSide(), [*head, *pieces(data + b"\r\n0\r\n\r\n", seed)])
+    assert b"".join(bytes(e.data) for e in events if isinstance(e, h11.Data)) == data
+    assert isinstance(events[-1], h11.EndOfMessage)
+
+
 @pytest.mark.parametrize("prefix", (b"", b"HTTP/1.1 100 Continue\r\na:\r\n\r\n"))
 def test_a_response_is_rejected_at_its_101st_field(prefix):
     """Guards against a worker or a discovery whose heads cost what a client's may not."""
--- a/yewrill/net/message_limits.py
+++ b/yewrill/net/message_limits.py
@@ -19,8 +19,8 @@
 MAX_EXCESS_FRAMING_BYTES = 4096
 
 _CHUNKED = b"chunked"
-# The last chunk of a body, which the trailer fields follow. The end of the chunk before may precede it.
-_LAST_CHUNK = re.compile(rb"(?:\r\n)?0+[ \t]*(?:;[^\n]*)?\r\n")
+# The header of a chunk; the end of the chunk before may precede it. Trailer fields follow one of size 0.
+_CHUNK_HEADER = re.compile(rb"(?:\r\n)?([0-9A-Fa-f]+)[ \t]*(?:;[^\n]*)?\r\n")
 
 
 class MessageTooCostly(h11.RemoteProtocolError):
@@ -118,12 +118,15 @@
     def check_trailer(self, unparsed: bytes) -> None:
         """Counts the trailer fields that the unparsed bytes contain, if any. Raises TooManyFields."""
         self.must_check_trailer = False
-        last_chunk = _LAST_CHUNK.match(unparsed)
-        if last_chunk is not None:
-            self._between_chunks = False
+        header = _CHUNK_HEADER.match(unparsed)
+        if header is None:
+            return  # it is not complete yet
+        # The parser consumes the header at once, even if none of the chunk's data has arrived.
+        self._between_chunks = False
+        if not header[1].strip(b"0"):
             self._in_trailer = True
             self._lines = 0
-            self._count_lines(unparsed[last_chunk.end() :])
+            self._count_lines(unparsed[header.end() :])
 
     def parsed(self, event: object) -> None:
         """Notes an event that the parser has returned. Raises TooManyFields."""
