Soak: costly clients, keys that come again after their client has left, memory

Change: the fault CLIENTS_HEAVY, combined also with restarts and upgrades; half of the clients that left repeat within 1.5 s; the rule MEMORY, by each process's largest resident memory.

--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -123,6 +123,10 @@
         history.attempts.append(attempt(id, at=10.0 + 0.001 * number))
 
 
+def over_the_memory_limit(history):
+    history.peak_memory_mb["d0"] = TERMS.memory_mb + 1.0
+
+
 def unclean_exit(history):
     history.process_events[3] = process_event(ProcessState.EXITED, 23.0, code=1)
 
@@ -171,6 +175,7 @@
     never_ready: Rule.READY,
     rejected_by_a_healthy_fleet: Rule.WELL_FLEET,
     stalled_client_not_closed: Rule.STOPPED,
+    over_the_memory_limit: Rule.MEMORY,
     own_check: Rule.OWN_CHECK,
 }
 
--- a/yewrill/lab/soak/clients.py
+++ b/yewrill/lab/soak/clients.py
@@ -13,7 +13,7 @@
 import trio
 import ujson
 
-from yewrill.lab.soak.events import Effect, History, Request, RequestEnd
+from yewrill.lab.soak.events import Effect, History, ProcessState, Request, RequestEnd
 from yewrill.lab.soak.http import DISCONNECTED, next_event, reset
 from yewrill.lab.soak.oracle import ANSWER_SLACK_SECONDS, CLOCK_SLACK_SECONDS, STALL_LIMIT_SECONDS
 from yewrill.lab.soak.plan import Plan
@@ -22,6 +22,9 @@
 CLIENT_TIMEOUT_WEIGHTS = (1, 1, 3, 6, 10, 10, 2, 1)
 KINDS = ("tour", "save", "once")
 KIND_WEIGHTS = (5, 2, 3)
+# Probability that a client that has left sends its request again, and the longest time until then.
+REPEAT_AFTER_LEAVING = 0.5
+MAX_ABSENCE_SECONDS = 1.5
 MAX_IDLE_CONNECTIONS = 12  # limit on the idle connections that are kept to one dispatcher
 
 
@@ -122,6 +125,12 @@
         if request.status in (429, 503) and self._rng.random() < 0.5:
             await trio.sleep(self._rng.uniform(0.0, 0.3))
             await self._send_once(repeat_id, kind, key, 2.0, Style.WHOLE, on_new_connection=True)
+        elif request.end is RequestEnd.LEFT and self._rng.random() < REPEAT_AFTER_LEAVING:
+            await trio.sleep(self._rng.uniform(0.0, MAX_ABSENCE_SECONDS))
+            if self._plan.terms.persistent_state or not self._process_ended(request.begun_at):
+                await self._send_once(
+                    repeat_id, kind, key, 2.0, Style.WHOLE, on_new_connection=True
+                )
         elif (
             first.end is RequestEnd.CLOSED
             and request.end in (RequestEnd.CLOSED, RequestEnd.NOT_TAKEN)
@@ -131,6 +140,18 @@
             await self._ready_event_of(self.name).wait()
             await self._send_once(repeat_id, kind, key, 2.0, Style.WHOLE, on_new_connection=True)
 
+    def _process_ended(self, since: float) -> bool:
+        """Whether a process of the dispatcher has ended, and with it what it kept in memory only.
+
+        A process that another one replaced has told that one what it knew.
+        """
+        return not self._plan.inherited_sockets and any(
+            event.dispatcher == self.name
+            and event.at >= since
+            and event.state in (ProcessState.TERMINATED, ProcessState.KILLED, ProcessState.EXITED)
+            for event in self._history.process_events
+        )
+
     async def _send_once(
         self,
         id: str,
--- a/yewrill/lab/soak/events.py
+++ b/yewrill/lab/soak/events.py
@@ -137,6 +137,8 @@
     calm_spans: list[tuple[float, float]] = field(default_factory=list)
     # Violations of their own rules that the dispatchers logged.
     violations: list[str] = field(default_factory=list)
+    # Largest resident memory, in MB, that a process of each dispatcher had.
+    peak_memory_mb: dict[str, float] = field(default_factory=dict)
     # Longest time, in seconds, by which the test's event loop was late or a dispatcher waited for a CPU.
     max_lateness: float = 0.0
     began: float = field(default_factory=time.monotonic)
--- a/yewrill/lab/soak/nodes.py
+++ b/yewrill/lab/soak/nodes.py
@@ -94,7 +94,7 @@
             "seed": f"{plan.seed + self._index:x}",
             "known": known,
             "timing": {},
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": plan.sockets},
+            "limits": {"cores": 1.0, "memory_mb": terms.memory_mb, "sockets": plan.sockets},
             "settings": {
                 "areas": ["room"],
                 "kinds": ["std"],
@@ -265,6 +265,16 @@
         except (OSError, IndexError, ValueError):
             return None
 
+    def peak_memory_mb(self) -> float:
+        """Returns the largest resident memory that the present process has had, 0 without a process."""
+        if self.process is None:
+            return 0.0
+        with suppress(OSError):
+            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024.0
+        return 0.0
+
     def close(self) -> None:
         """Kills the process if it still runs, and closes the listening socket."""
         if self.process is not None and self.process.poll() is None:
--- a/yewrill/lab/soak/oracle.py
+++ b/yewrill/lab/soak/oracle.py
@@ -59,6 +59,7 @@
     CRASH = "no process ends without a signal"
     READY = "a process is ready in time"
     WELL_FLEET = "a healthy fleet at half load rejects nothing"
+    MEMORY = "a process stays under its memory limit"
     OWN_CHECK = "no dispatcher logs a rule violation of its own"
 
 
@@ -89,6 +90,7 @@
     cold_multiple: float
     cold_window: float
     persistent_state: bool = False
+    memory_mb: int = 192
 
 
 def judge(history: History, terms: Terms) -> list[Breach]:
@@ -105,6 +107,7 @@
         _check_slow_starts,
         _check_processes,
         _check_healthy_fleet,
+        _check_memory,
         _check_violations,
     )
     return [breach for check in checks for breach in check(indexed)]
@@ -416,6 +419,13 @@
                 )
 
 
+def _check_memory(indexed: _IndexedHistory) -> Iterator[Breach]:
+    limit = indexed.terms.memory_mb
+    for name, peak in indexed.history.peak_memory_mb.items():
+        if peak > limit:
+            yield Breach(Rule.MEMORY, name, f"{peak:.0f} MB", f"a limit of {limit} MB")
+
+
 def _check_violations(indexed: _IndexedHistory) -> Iterator[Breach]:
     for line in indexed.history.violations:
         yield Breach(
--- a/yewrill/lab/soak/plan.py
+++ b/yewrill/lab/soak/plan.py
@@ -27,6 +27,7 @@
 GRACE_AFTER_DEADLINE_SECONDS = 0.7
 # Limits on the sockets of a dispatcher. The lower one is for runs in which idle clients exhaust it.
 SOCKETS = 512
+MEMORY_MB = 192
 CROWDED_SOCKETS = 160
 IDLE_CLIENTS = 200  # number of idle clients, enough to exhaust CROWDED_SOCKETS
 
@@ -64,6 +65,7 @@
     CLIENTS_LEAVE = "many clients disconnect at any byte"
     CLIENTS_BURST = "clients send a burst"
     CLIENTS_CROWD = "idle clients exhaust the sockets"
+    CLIENTS_HEAVY = "clients send requests that cost much"
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +169,10 @@
     (Kind.WORKER_HANGS, Kind.SIGNALS_IN_SERIES),
     (Kind.CLIENTS_CROWD, Kind.SIGNALS_IN_SERIES),
     (Kind.CLIENTS_CROWD, Kind.TERMINATE),
+    (Kind.CLIENTS_HEAVY, Kind.CLIENTS_LEAVE),
+    (Kind.CLIENTS_HEAVY, Kind.TERMINATE),
+    (Kind.CLIENTS_HEAVY, Kind.UPGRADE),
+    (Kind.CLIENTS_LEAVE, Kind.UPGRADE),
 )
 COMBINATION_FRACTION = 0.4
 
@@ -196,6 +202,7 @@
         cold_multiple=rng.choice((1.0, 1.5)),
         cold_window=1.0,
         persistent_state=persistent_state,
+        memory_mb=MEMORY_MB,
     )
     workers = max(5, 5 * dispatchers // 3)
     until = INITIAL_CALM_SECONDS + max(
--- a/yewrill/lab/soak/play.py
+++ b/yewrill/lab/soak/play.py
@@ -16,6 +16,7 @@
 from yewrill.lab.soak.clients import LEAVING_STYLE_WEIGHTS, USUAL_STYLE_WEIGHTS, ClientTraffic
 from yewrill.lab.soak.discovery import Discovery
 from yewrill.lab.soak.events import History, ProcessState
+from yewrill.lab.soak.heavy_clients import send_heavy_requests
 from yewrill.lab.soak.nodes import Node
 from yewrill.lab.soak.oracle import Breach, judge
 from yewrill.lab.soak.plan import (
@@ -161,7 +162,7 @@
             self.history.max_lateness = max(self.history.max_lateness, time.monotonic() - due)
 
     async def _watch_nodes(self) -> None:
-        """Records how long dispatchers wait for a CPU: this lateness is not the dispatchers' fault."""
+        """Records the dispatchers' memory, and how long they wait for a CPU, which is not their fault."""
         before: dict[int, float] = {}
         while True:
             await trio.sleep(NODE_WATCH_INTERVAL_SECONDS)
@@ -171,6 +172,9 @@
                     self.history.max_lateness, waited - before.get(pid, waited)
                 )
             before = now
+            for node in self.nodes:
+                known = self.history.peak_memory_mb.get(node.name, 0.0)
+                self.history.peak_memory_mb[node.name] = max(known, node.peak_memory_mb())
 
     async def _run_client_misbehavior(self, started_at: float) -> None:
         """Lets clients misbehave from the first fault to the last."""
@@ -200,6 +204,8 @@
             await self._drain_workers(fault)
         elif kind is Kind.CLIENTS_CROWD:
             await self._open_idle_clients(fault)
+        elif kind is Kind.CLIENTS_HEAVY:
+            await self._send_heavy_requests(fault)
         elif kind in (Kind.CLIENTS_LEAVE, Kind.CLIENTS_BURST):
             await self._change_client_traffic(fault)
         else:
@@ -241,6 +247,14 @@
                         stack.callback(stream.socket.close)
                 await trio.sleep(fault.duration)
 
+    async def _send_heavy_requests(self, fault: Fault) -> None:
+        rng = random.Random(f"{self.plan.seed}/heavy/{fault.number}")
+        async with trio.open_nursery() as nursery:
+            for number in fault.dispatchers:
+                nursery.start_soon(
+                    send_heavy_requests, self.nodes[number].address, rng, fault.duration
+                )
+
     async def _change_client_traffic(self, fault: Fault) -> None:
         affected = [self.traffic[number] for number in fault.dispatchers]
         if fault.kind is Kind.CLIENTS_BURST:
