--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
 
 import pytest
 import trio
+import ujson
 from helper import ScriptedWorker, done, running_service, trio_test
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from yewrill.dispatch.attempt_register import AttemptRegister, RequestIdentity, SentAttempt
+from yewrill.net.connection import Connection
 from yewrill.policy.interface import Idempotency, RequestClass
+from yewrill.service.attempt_exchange import AttemptExchange
+from yewrill.service.hot_restart import HotRestart, _Link
 from yewrill.store import Store
 
 WINDOW = 100.0
@@ -185,3 +190,16 @@
             await harness.wait_until(lambda: len(harness.service.repeat_guard.register))
             assert (await harness.ask("/once", X_Request_ID="b", Idempotency_Key="k")).status == 502
             finish.set()
+
+
+@trio_test
+async def test_the_other_process_is_told_of_an_attempt_before_its_first_byte(tmp_path):
+    """Guards against an attempt that a process has begun and, killed in that instant, told nobody of."""
+    peer, own = socket.socketpair()
+    hot_restart = HotRestart(tmp_path / "link", None)
+    hot_restart._links.add(_Link(Connection(own), old_process=False))
+    exchange = AttemptExchange(AttemptRegister(), lambda: 0.0, hot_restart)
+    exchange.sent(RequestIdentity("once", "acme", "k"), SentAttempt(0.0, WINDOW, 0, 0))
+    own.close()  # as in a process that is killed now
+    assert ujson.loads(peer.recv(4096))["attempts"][0][:3] == ["once", "acme", "k"]
+    peer.close()
