--- a/tests/helper.py
+++ b/tests/helper.py
@@ -377,5 +377,18 @@
     await exchange.done()
 
 
+@dataclass
+class RejectingScript:
+    """A script that returns requests unprocessed as long as `rejects` is set."""
+
+    rejects: bool = True
+
+    async def __call__(self, exchange: Exchange) -> None:
+        if self.rejects:
+            await exchange.send_status(503, "X-Not-Processed: 1")
+        else:
+            await exchange.done()
+
+
 async def hang(exchange: Exchange) -> None:
     await exchange.wait_closed()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -13,7 +13,15 @@
 import pytest
 import trio
 import trio.testing
-from helper import Client, ScriptedWorker, done, mock_clock_test, running_service, trio_test
+from helper import (
+    Client,
+    RejectingScript,
+    ScriptedWorker,
+    done,
+    mock_clock_test,
+    running_service,
+    trio_test,
+)
 
 from yewrill.config.reading import read_config
 from yewrill.dispatch.outcome import AttemptOutcome
@@ -249,22 +257,15 @@
 @trio_test
 async def test_an_attempt_that_never_ran_may_be_made_by_the_other_process():
     """Guards against an attempt that counts at the other process although it never ran."""
-    refused = []
+    script = RejectingScript()
 
-    async def turn_away_first(exchange) -> None:
-        if len(refused) < 4:
-            refused.append(exchange)
-            await exchange.send_status(503, "X-Not-Processed: 1")
-        else:
-            await exchange.done()
-
-    async with hot_restart_service(ScriptedWorker("d1", turn_away_first)) as harness:
+    async with hot_restart_service(ScriptedWorker("d1", script)) as harness:
         client = await harness.shared.client()
         await harness.wait_until(lambda: harness.old_process.listener.clients)
         new_process = await start_new_process(harness)
         harness.old_process.listener.stop_accepting()
         assert (await client.ask("/once", X_Request_ID="r")).status == 503
-        refused += [None] * 4
+        script.rejects = False
         await harness.wait_until(lambda: not len(new_process.repeat_guard.register))
         await harness.wait_until(lambda: not new_process.hot_restart.open_elsewhere("r"))
         assert (await (await harness.shared.client()).ask("/once", X_Request_ID="r")).status == 200
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 import ujson
-from helper import ScriptedWorker, done, running_service, trio_test
+from helper import RejectingScript, ScriptedWorker, done, running_service, trio_test
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -150,19 +150,12 @@
 @trio_test
 async def test_a_request_that_was_turned_away_everywhere_may_come_again_at_once():
     """Guards against a memory of attempts that never ran."""
-    turned_away = []
+    script = RejectingScript()
 
-    async def turn_away_first(exchange) -> None:
-        if len(turned_away) < 4:
-            turned_away.append(exchange)
-            await exchange.send_status(503, "X-Not-Processed: 1")
-        else:
-            await exchange.done()
-
-    async with running_service(ScriptedWorker("d1", turn_away_first)) as harness:
+    async with running_service(ScriptedWorker("d1", script)) as harness:
         assert (await harness.ask("/once", X_Request_ID="r")).status == 503
         await harness.wait_until(lambda: not harness.service.open_requests.ids)
-        turned_away += [None] * 4
+        script.rejects = False
         assert not len(harness.service.repeat_guard.register)
         assert (await harness.ask("/once", X_Request_ID="r")).status == 200
 
