--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -9,9 +9,11 @@
 from helper import ScriptedWorker, done, receive_status, running_service, send_raw, trio_test
 
 from yewrill.net import input_turns
+from yewrill.net.client_connection import ClientConnection
 from yewrill.net.connection import Connection
 from yewrill.net.http import MeteredParser, ServerSide
 from yewrill.net.input_turns import wait_for_turn
+from yewrill.net.ring import RingBuffer
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -76,6 +78,18 @@
     assert work.most["next_event"] <= MAX_EVENTS_PER_ITERATION + 4 * clients
 
 
+@trio_test
+async def test_a_message_that_comes_in_single_bytes_needs_few_turns(monkeypatch):
+    """Guards against one iteration of the event loop for each byte, which makes everybody wait."""
+    work, space = WorkPerIteration(), RingBuffer.space
+    monkeypatch.setattr(RingBuffer, "space", lambda self: space(self)[:1])
+    request = HEAD % b"a" + b"Content-Length: 400\r\n\r\n" + b"x" * 400
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        work.count(monkeypatch, ClientConnection, "wait_for_turn")
+        assert await receive_status(await send_raw(harness, request)) == b"200"
+    assert work.calls["wait_for_turn"] <= len(request) // input_turns.READS_PER_TURN + 4
+
+
 @trio_test
 async def test_replies_to_bad_requests_take_turns(monkeypatch):
     """Guards against a flood of bad requests that keeps the event loop from all others."""
--- a/yewrill/net/connection.py
+++ b/yewrill/net/connection.py
@@ -85,7 +85,7 @@
 class Connection:
     """A non-blocking TCP socket with its input buffer. Cancellation does not close it; its owner does."""
 
-    __slots__ = ("sock", "inbound", "closed", "unsent", "retried_for")
+    __slots__ = ("sock", "inbound", "closed", "unsent", "retried_for", "waited")
 
     def __init__(self, sock: socket.socket, ring_bytes: int = RING_BYTES):
         sock.setblocking(False)
@@ -97,6 +97,7 @@
         self.unsent = 0  # number of bytes of the current `send` that the kernel has not accepted
         # Seconds for which the last read was retried before it succeeded.
         self.retried_for = 0.0
+        self.waited = False  # whether the last read had to wait for its data
 
     @classmethod
     async def open(cls, address: tuple[str, int], ring_bytes: int = RING_BYTES) -> Connection:
@@ -134,6 +135,7 @@
     async def fill(self) -> int:
         """Reads available data into the inbound buffer; returns the byte count, 0 at the stream's end."""
         retries: Retries | None = None
+        self.waited = False
         while True:
             try:
                 count = self.fill_now()
@@ -144,6 +146,7 @@
             if count is not None:
                 self.retried_for = 0.0 if retries is None else retries.elapsed()
                 return count
+            self.waited = True
             await self._wait_ready(trio.lowlevel.wait_readable)
 
     def fill_now(self) -> int | None:
