--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -90,6 +90,23 @@
     assert work.calls["wait_for_turn"] <= len(request) // input_turns.READS_PER_TURN + 4
 
 
+@trio_test
+async def test_input_behind_the_last_reply_is_read_in_turns(monkeypatch):
+    """Guards against a client of a bad request whose further input holds the event loop."""
+    work, space = WorkPerIteration(), RingBuffer.space
+    async with running_service(ScriptedWorker("d1", done)) as harness:
+        work.count(monkeypatch, Connection, "fill_now")
+        stream = await send_raw(harness, b"no request\r\n\r\n")
+        assert await stream.receive_some()
+        monkeypatch.setattr(RingBuffer, "space", lambda self: space(self)[:1])
+        trio.lowlevel.add_instrument(work)
+        await stream.send_all(b"x" * 30_000)
+        await harness.wait_until(lambda: not harness.service.listener.clients)
+        trio.lowlevel.remove_instrument(work)
+        await stream.aclose()
+    assert 1 < work.most["fill_now"] <= 3 * input_turns.READS_PER_TURN
+
+
 @trio_test
 async def test_replies_to_bad_requests_take_turns(monkeypatch):
     """Guards against a flood of bad requests that keeps the event loop from all others."""
