--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,6 +23,7 @@
     Exchange,
     ScriptedWorker,
     done,
+    hang,
     mock_clock_test,
     running_service,
     trio_test,
@@ -880,6 +881,24 @@
         assert trio.current_time() - began < 1.4 - 0.15
 
 
+@mock_clock_test
+async def test_an_attempt_whose_client_has_left_does_not_extend_a_drain_beyond_its_grace():
+    """Guards against a process that waits for a worker's answer which nobody is owed, until SIGKILL."""
+    worker = ScriptedWorker("d1", hang)
+    async with running_service(
+        worker, settings=LONG_DEADLINES, timing={"linger_ms": 50, "grace_ms": 1400}
+    ) as harness:
+        client = await harness.client()
+        await client.stream.send_all(raw_request("leaves"))
+        await harness.wait_until(lambda: worker.exchanges)
+        await client.stream.aclose()
+        await harness.wait_until(lambda: not harness.service.engine.pending)
+        began = trio.current_time()
+        harness.nursery.start_soon(harness.service.drain)
+        await harness.ended.wait()
+        assert trio.current_time() - began < 1.4 - 0.15
+
+
 @mock_clock_test
 async def test_request_completed_after_the_drain_deadline_is_not_accepted(monkeypatch):
     worker = ScriptedWorker("d1", done)
