Soak: upgrades in which one of the two processes is killed

Change: the fault UPGRADE_KILL: a new process starts beside the old one; within 2 s of its start either is killed (the old one only once the new one is ready, as connections would wait for nobody). Combined with workers that hang and with clients that leave and send the same key again.

--- a/yewrill/lab/soak/nodes.py
+++ b/yewrill/lab/soak/nodes.py
@@ -25,6 +25,9 @@
 # The shell command with which the platform starts a dispatcher.
 START_COMMAND = "trap '' HUP; exec \"$0\" -m yewrill"
 RELOADS_IN_A_ROW = 3
+MAX_UPGRADE_KILL_DELAY_SECONDS = (
+    2.0  # longest time from the start of a new process to the kill of one
+)
 MAX_SERIES_INTERVAL_SECONDS = 0.25  # longest time between two signals of a series
 
 
@@ -255,6 +258,22 @@
         await self.start()
         await self.terminate(old)
 
+    async def upgrade_with_kill(self) -> None:
+        """Starts a new process beside the old one, and kills one of the two at some time from then on."""
+        old = self.process
+        kills_new = self._rng.random() < 0.5
+        delay = self._rng.uniform(0.0, MAX_UPGRADE_KILL_DELAY_SECONDS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.start)
+            await trio.sleep(delay)
+            if kills_new:
+                self.send(signal.SIGKILL, ProcessState.KILLED, self.process)
+        if kills_new:
+            self.process = old
+        else:
+            self.send(signal.SIGKILL, ProcessState.KILLED, old)
+        self.ready.set()  # the other process serves
+
     def cpu_wait(self) -> tuple[int, float] | None:
         """Returns the process id, and the total time in seconds that the process waited for a CPU."""
         if self.process is None:
--- a/yewrill/lab/soak/plan.py
+++ b/yewrill/lab/soak/plan.py
@@ -29,6 +29,7 @@
 SOCKETS = 512
 MEMORY_MB = 192
 CROWDED_SOCKETS = 160
+UPGRADE_KILL_SECONDS = 3.0  # duration of an upgrade in which a process is killed
 IDLE_CLIENTS = 200  # number of idle clients, enough to exhaust CROWDED_SOCKETS
 
 
@@ -42,6 +43,7 @@
     RELOAD = "SIGHUP, several in a row"
     RELOAD_INTO_DRAIN = "SIGHUP, then SIGTERM"
     UPGRADE = "a new process takes the listening socket over"
+    UPGRADE_KILL = "a new process takes the listening socket over, and one of the two is killed"
     CALLS_FAIL = "system calls fail"
     SHORT_CALLS = "reads and writes transfer few bytes"
     DISK_ERRS = "writes or syncs fail"
@@ -173,6 +175,9 @@
     (Kind.CLIENTS_HEAVY, Kind.TERMINATE),
     (Kind.CLIENTS_HEAVY, Kind.UPGRADE),
     (Kind.CLIENTS_LEAVE, Kind.UPGRADE),
+    (Kind.CLIENTS_LEAVE, Kind.UPGRADE_KILL),
+    (Kind.WORKER_HANGS, Kind.UPGRADE_KILL),
+    (Kind.UPGRADE, Kind.PAUSE),
 )
 COMBINATION_FRACTION = 0.4
 
@@ -261,7 +266,7 @@
 def _is_applicable(
     kind: Kind, inherited_sockets: bool, persistent_state: bool, crowded: bool
 ) -> bool:
-    if kind is Kind.UPGRADE:
+    if kind in (Kind.UPGRADE, Kind.UPGRADE_KILL):
         return inherited_sockets
     if kind is Kind.CLIENTS_CROWD:
         return crowded
@@ -286,17 +291,9 @@
         sorted(rng.sample(range(dispatchers), rng.choice((1, 1, min(2, dispatchers)))))
     )
     affected_workers = tuple(sorted(rng.sample(range(workers), rng.choice((1, 1, 2)))))
-    if kind is Kind.PAUSE:
-        return Fault(number, kind, at, 0.15, affected_dispatchers[:1])
-    if kind in (
-        Kind.TERMINATE,
-        Kind.RELOAD_INTO_DRAIN,
-        Kind.UPGRADE,
-        Kind.SIGNALS_IN_SERIES,
-    ):
-        return Fault(number, kind, at, grace + 1.0, affected_dispatchers[:1])
-    if kind in (Kind.KILL, Kind.RELOAD):
-        return Fault(number, kind, at, 1.0, affected_dispatchers[:1])
+    process_duration = _duration_at_process(kind, grace)
+    if process_duration is not None:
+        return Fault(number, kind, at, process_duration, affected_dispatchers[:1])
     if kind is Kind.CLOCK_STEP:
         step = rng.choice((-3600.0, 3600.0, -5.0, 5.0, -0.7))
         return Fault(number, kind, at, 0.1, step=step)
@@ -323,6 +320,22 @@
     )
 
 
+def _duration_at_process(kind: Kind, grace: float) -> float | None:
+    """Returns the duration, in seconds, of a fault of one dispatcher's process; None for other faults."""
+    if kind is Kind.PAUSE:
+        return 0.15
+    if kind in (
+        Kind.TERMINATE,
+        Kind.RELOAD_INTO_DRAIN,
+        Kind.UPGRADE,
+        Kind.SIGNALS_IN_SERIES,
+    ):
+        return grace + 1.0
+    if kind is Kind.UPGRADE_KILL:
+        return UPGRADE_KILL_SECONDS
+    return 1.0 if kind in (Kind.KILL, Kind.RELOAD) else None
+
+
 def _draw_failing_call(rng: random.Random) -> Rule:
     call, origin, errors = rng.choice(_CALL_ERRORS)
     return Rule(call, origin, rng.choice(errors), chance=rng.choice((0.3, 1.0, 1.0)))
--- a/yewrill/lab/soak/play.py
+++ b/yewrill/lab/soak/play.py
@@ -329,6 +329,9 @@
     async def _upgrade(self, node: Node) -> None:
         await node.upgrade()
 
+    async def _upgrade_with_kill(self, node: Node) -> None:
+        await node.upgrade_with_kill()
+
 
 _NODE_FAULTS = {
     Kind.TERMINATE: SoakRun._terminate,
@@ -338,6 +341,7 @@
     Kind.RELOAD: SoakRun._reload,
     Kind.RELOAD_INTO_DRAIN: SoakRun._reload_into_drain,
     Kind.UPGRADE: SoakRun._upgrade,
+    Kind.UPGRADE_KILL: SoakRun._upgrade_with_kill,
 }
 
 
