Connections: a plain input buffer in place of a ring that no longer turned

Since output goes to the kernel without a copy, the only reader of the ring takes all of its bytes at once, so that its head stood at 0 for good: the modulo, the two halves of a read and the partial removal were dead. InputBuffer collects up to its capacity and is emptied whole; space() has one form. ring.py, RING_BYTES and ring_bytes are named after it. Behaviour and capacity are as before.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -169,10 +169,12 @@
     full_backlog = FullBacklog()
     opened = []
 
-    async def connect(address, ring_bytes):
+    async def connect(address, input_buffer_bytes):
         opened.append(trio.current_time())
         # The kernel retransmits a dropped SYN late: a connect begun at the full backlog never completes.
-        return await real_open(full_backlog.address if len(opened) < 4 else address, ring_bytes)
+        return await real_open(
+            full_backlog.address if len(opened) < 4 else address, input_buffer_bytes
+        )
 
     async with running_service(worker, settings=LARGE_FLEET) as harness:
         real_open = discovery_module.Connection.open
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -32,7 +32,7 @@
 
 from yewrill.net import client_connection, listener
 from yewrill.net.client_connection import ClientConnection as ServerClientConnection
-from yewrill.net.connection import RING_BYTES, Connection
+from yewrill.net.connection import INPUT_BUFFER_BYTES, Connection
 from yewrill.net.worker_connections import WorkerConnectionPool
 from yewrill.policy import interface as api
 
@@ -303,7 +303,7 @@
         [sender] = harness.service.listener.clients
         sender._drop_input()
         assert len(reads) == 1 and reads[0] <= 65536  # bounded, however many bytes are available
-        assert len(sender.connection.inbound) == RING_BYTES
+        assert len(sender.connection.inbound) == INPUT_BUFFER_BYTES
         gate.open("d1")
         reply = await client.reply()
         assert (reply.status, reply.headers["connection"]) == (200, "close")
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -12,8 +12,8 @@
 from yewrill.net.client_connection import ClientConnection
 from yewrill.net.connection import Connection
 from yewrill.net.http import MeteredParser, ServerSide
+from yewrill.net.input_buffer import InputBuffer
 from yewrill.net.input_turns import wait_for_turn
-from yewrill.net.ring import RingBuffer
 
 HEAD = b"POST /tour HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -81,8 +81,8 @@
 @trio_test
 async def test_a_message_that_comes_in_single_bytes_needs_few_turns(monkeypatch):
     """Guards against one iteration of the event loop for each byte, which makes everybody wait."""
-    work, space = WorkPerIteration(), RingBuffer.space
-    monkeypatch.setattr(RingBuffer, "space", lambda self: space(self)[:1])
+    work, space = WorkPerIteration(), InputBuffer.space
+    monkeypatch.setattr(InputBuffer, "space", lambda self: space(self)[:1])
     request = HEAD % b"a" + b"Content-Length: 400\r\n\r\n" + b"x" * 400
     async with running_service(ScriptedWorker("d1", done)) as harness:
         work.count(monkeypatch, ClientConnection, "wait_for_turn")
@@ -93,12 +93,12 @@
 @trio_test
 async def test_input_behind_the_last_reply_is_read_in_turns(monkeypatch):
     """Guards against a client of a bad request whose further input holds the event loop."""
-    work, space = WorkPerIteration(), RingBuffer.space
+    work, space = WorkPerIteration(), InputBuffer.space
     async with running_service(ScriptedWorker("d1", done)) as harness:
         work.count(monkeypatch, Connection, "fill_now")
         stream = await send_raw(harness, b"no request\r\n\r\n")
         assert await stream.receive_some()
-        monkeypatch.setattr(RingBuffer, "space", lambda self: space(self)[:1])
+        monkeypatch.setattr(InputBuffer, "space", lambda self: space(self)[:1])
         trio.lowlevel.add_instrument(work)
         await stream.send_all(b"x" * 30_000)
         await harness.wait_until(lambda: not harness.service.listener.clients)
