--- a/yewrill/lab/soak/nodes.py
+++ b/yewrill/lab/soak/nodes.py
@@ -25,9 +25,8 @@
 # The shell command with which the platform starts a dispatcher.
 START_COMMAND = "trap '' HUP; exec \"$0\" -m yewrill"
 RELOADS_IN_A_ROW = 3
-MAX_UPGRADE_KILL_DELAY_SECONDS = (
-    2.0  # longest time from the start of a new process to the kill of one
-)
+# Longest time from the start of a new process to the kill of one of the two.
+MAX_UPGRADE_KILL_DELAY_SECONDS = 2.0
 MAX_SERIES_INTERVAL_SECONDS = 0.25  # longest time between two signals of a series
 
 
