--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -20,6 +20,7 @@
 from fixture_files import DIRECTORY, read_encoded, read_file, read_json
 from helper import trio_test
 
+from yewrill.dispatch.attempt_log import RETRIED_OUTCOMES, SEND_DELAY_BUCKETS_MS
 from yewrill.leases import format as ownership
 from yewrill.leases import lease_table, raft, raft_types, states
 from yewrill.leases.format import unpack as read_ownership
@@ -357,6 +358,9 @@
 
 ADDED_METRICS = [  # metrics that f4043a5 did not have
     ["app.held_back.repeats_another", "c"],
+    *([f"app.retries.{outcome.name.lower()}", "c"] for outcome in RETRIED_OUTCOMES),
+    *([f"app.send_delay_ms.le_{bound}", "c"] for bound in SEND_DELAY_BUCKETS_MS),
+    ["app.send_delay_ms.all", "c"],
     ["app.unfinished_requests_evicted", "c"],
     ["app.attempts_forgotten", "c"],
     ["app.load_level_changes", "c"],
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -24,6 +24,7 @@
 )
 
 from yewrill.config.reading import read_config
+from yewrill.dispatch.attempt_log import RETRIED_OUTCOMES, SEND_DELAY_BUCKETS_MS
 from yewrill.dispatch.outcome import AttemptOutcome
 from yewrill.dispatch.request import Request
 from yewrill.dispatch.safety import CloseReason, HeldBack, Rule
@@ -579,6 +580,9 @@
             "reload_failure": 0,
             **{f"rule_violations.{rule.name.lower()}": 0 for rule in Rule},
             **{f"held_back.{reason.name.lower()}": 0 for reason in HeldBack},
+            **{f"retries.{outcome.name.lower()}": 0 for outcome in RETRIED_OUTCOMES},
+            **{f"send_delay_ms.le_{bound}": 0 for bound in SEND_DELAY_BUCKETS_MS},
+            "send_delay_ms.all": 0,
             **{f"closed.{reason.value}": 0 for reason in CloseReason},
             "rule_violations_total": 0,
             "accept_failures": 0,
@@ -606,6 +610,7 @@
         assert (await harness.ask("/save", X_Request_ID=None)).status == 400
         counts = await metrics(harness)
         assert (counts["success.tour"], counts["error.once"], counts["dispatches"]) == (3, 1, 4)
+        assert counts["send_delay_ms.all"] == 4
         assert counts["not_served.once.must_not_repeat"] == 1 and counts["run_time_ms.tour"] < 100
         assert not any("nothing" in name for name in counts) and counts["error.save"] == 0
         client = await harness.client()
--- a/yewrill/dispatch/lifecycle.py
+++ b/yewrill/dispatch/lifecycle.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from yewrill.dispatch.attempt_log import must_be_logged
 from yewrill.dispatch.engine import DecisionEngine
 from yewrill.dispatch.outcome import AttemptOutcome
 from yewrill.dispatch.request import Attempt, Failure, Rejection, Request
@@ -52,11 +53,14 @@
                 engine.report(choice, outcome)
             if outcome is AttemptOutcome.SERVED:
                 return None if request.client_left else Served(result)
-            log.debug(
-                "attempt_failed request=%s worker=%s outcome=%s",
+            log.log(
+                logging.INFO if must_be_logged(request) else logging.DEBUG,
+                "attempt_failed request=%s worker=%s outcome=%s attempt=%d sent=%s",
                 request.id,
                 choice.worker,
                 outcome.value,
+                choice.number,
+                "yes" if choice.sent else "no",
             )
     except Exception:
         # The client gets an answer even after an unexpected exception.
