Failing test: a keyed retry is sent after its window when its connection comes up late

The real program on loopback: the first attempt is reset after 0.12 s, the kept connection of the other worker breaks under the retry (and without one), the listening queues are full for 0.6 s, so that a SYN is lost and sent again after a second.

--- /dev/null
+++ b/tests/fixture_late_connections.py
@@ -0,0 +1,338 @@
+"""A real dispatcher process between workers whose connections can be made to come up late.
+
+The listening queue of a worker can be filled.
+
+A worker notes the times of the first and the last byte of every attempt. While a worker holds its queue, the
+kernel drops each SYN; the client's kernel sends it again after about a second.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import NoReturn
+
+import trio
+import ujson
+from helper import SETTINGS, Client, Discovery, Reply
+
+FILLING_CONNECTIONS = 2  # enough for a listening queue of length 0
+READY_SECONDS = 20.0
+_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+
+
+@dataclass
+class WorkerAttempt:
+    """One attempt as its worker saw it. Times in seconds of the monotonic clock."""
+
+    worker: QueueWorker
+    stream: trio.SocketStream
+    id: str
+    key: str
+    target: str
+    first_byte: float
+    last_byte: float
+    number: int  # counts the attempts of this key at all workers
+
+    async def send_line(self, state: str, **more) -> None:
+        """Sends a line of the answer, in a chunk of its own."""
+        line = ujson.dumps({"id": self.id, "from": self.worker.name, "state": state, **more}) + "\n"
+        await self.stream.send_all(f"{len(line):x}\r\n{line}\r\n".encode())
+
+    async def send_head(self) -> None:
+        """Sends the head of the answer."""
+        await self.stream.send_all(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+
+    async def done(self) -> None:
+        """Sends a whole answer with a result."""
+        await self.send_head()
+        await self.send_line("done", result="saved")
+        await self.stream.send_all(b"0\r\n\r\n")
+
+    async def reject(self) -> None:
+        """Returns the request unprocessed, and keeps the connection."""
+        await self.stream.send_all(
+            b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    def reset(self) -> NoReturn:
+        """Resets the connection and ends its conversation."""
+        linger_seconds_0 = struct.pack("ii", 1, 0)
+        self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_seconds_0)
+        self.stream.socket.close()
+        raise trio.BrokenResourceError
+
+
+Behavior = Callable[[WorkerAttempt], Awaitable[None]]
+
+
+@dataclass
+class QueueWorker:
+    """A worker that answers attempts by `behavior`; `attempts` is shared by all workers of a fleet."""
+
+    name: str
+    attempts: list[WorkerAttempt]
+    behavior: Behavior
+    cell: int = 0
+    zone: str = "room"
+    receive_buffer: int = (
+        0  # size of the receive buffer of its connections, in bytes; 0: the system's
+    )
+    port: int = 0
+    held: trio.Event = field(default_factory=trio.Event)  # set while connections are accepted
+    reading: trio.Event = field(default_factory=trio.Event)  # set while input is read
+    _streams: set = field(default_factory=set)
+    _forgotten: set = field(default_factory=set)
+    _listening: socket.socket | None = None
+
+    async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listens and serves connections until cancelled."""
+        with socket.socket() as listening:
+            if self.receive_buffer:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            listening.setblocking(False)
+            self._listening = listening
+            self.port = listening.getsockname()[1]
+            self.held.set()
+            self.reading.set()
+            async with trio.open_nursery() as nursery:
+                task_status.started()
+                while True:
+                    await trio.lowlevel.wait_readable(listening)
+                    await self.held.wait()
+                    with suppress(BlockingIOError):
+                        accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
+                        nursery.start_soon(self._converse, trio.SocketStream(accepted))
+
+    async def hold(self, seconds: float) -> None:
+        """Lets no connection come up for some seconds."""
+        if not self.held.is_set():
+            return
+        self.held = trio.Event()
+        self._listening.listen(0)
+        filling = [socket.socket() for _ in range(FILLING_CONNECTIONS)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", self.port))
+        await trio.sleep(seconds)
+        for sock in filling:
+            sock.close()
+        self._listening.listen()
+        self.held.set()
+
+    def forget_connections(self) -> None:
+        """Lets every open connection break under its next byte, as after a machine has forgotten it."""
+        self._forgotten |= self._streams
+
+    async def _converse(self, stream: trio.SocketStream) -> None:
+        self._streams.add(stream)
+        with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            while attempt := await self._receive(stream):
+                self.attempts.append(attempt)
+                await self.behavior(attempt)
+        self._streams.discard(stream)
+        await trio.aclose_forcefully(stream)
+
+    async def _receive(self, stream: trio.SocketStream) -> WorkerAttempt | None:
+        """Returns the next request with the times of its bytes, None at the end of the connection."""
+        await trio.lowlevel.wait_readable(stream.socket)
+        first_byte = time.monotonic()
+        if stream in self._forgotten:
+            return None  # with its input unread, so that the close is a reset
+        await self.reading.wait()
+        data = b""
+        while b"\r\n\r\n" not in data:
+            if not (part := await stream.receive_some(65536)):
+                return None
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = int(found[1]) if (found := _LENGTH.search(head)) else 0
+        while len(body) < length:
+            if not (part := await stream.receive_some(65536)):
+                return None
+            body += part
+        lines = head.decode().split("\r\n")
+        headers = {
+            name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines[1:])
+        }
+        key = headers.get("idempotency-key", "")
+        number = sum(1 for attempt in self.attempts if attempt.key == key)
+        return WorkerAttempt(
+            self,
+            stream,
+            headers.get("x-request-id", ""),
+            key,
+            lines[0].split()[1],
+            first_byte,
+            time.monotonic(),
+            number,
+        )
+
+    def entry(self) -> dict:
+        """Returns the worker's entry in the endpoint list."""
+        return {
+            "id": self.name,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "kind": "std",
+            "cell": self.cell,
+            "state": "SERVING",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+
+
+def keyed_settings(window_ms: float, **save) -> dict:
+    """Returns settings with an idempotent-by-key class `save`, and connections that may come up late."""
+    classes = [
+        {"name": "tour", "aim": 2000.0, "deadline": 5000.0, "repeat": "pure", "value": 1.0},
+        {
+            "name": "save",
+            "aim": 4000.0,
+            "deadline": 5000.0,
+            "repeat": "token",
+            "group": "cell",
+            "window": window_ms,
+            "value": 1.0,
+            **save,
+        },
+    ]
+    limits = {**SETTINGS["limits"], "connect_timeout": 1500.0}
+    return {**SETTINGS, "request_classes": classes, "limits": limits}
+
+
+class DispatcherProcess:
+    """One process of the dispatcher."""
+
+    def __init__(
+        self, folder: Path, name: str, config: dict, listening: socket.socket | None = None
+    ):
+        self.folder, self.name, self.config = folder, name, config
+        self.config_path = folder / f"{name}.json"
+        self.log_path = folder / f"{name}.log"
+        self.write_config()
+        environment = {
+            **os.environ,
+            "BALANCER_CONFIG": str(self.config_path),
+            "TMPDIR": str(folder),
+            "YEWRILL_LOG": "INFO",
+        }
+        inherited = ()
+        if listening is not None:
+            inherited = (listening.fileno(),)
+            environment["BALANCER_INHERITED_FD"] = str(listening.fileno())
+        with self.log_path.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "yewrill"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+                pass_fds=inherited,
+                cwd=os.environ.get("YEWRILL_TEST_PROGRAM") or None,
+            )
+
+    def write_config(self) -> None:
+        """Writes the configuration file, from `config`."""
+        self.config_path.write_text(ujson.dumps(self.config))
+
+    def log(self) -> str:
+        """Returns what the process has logged so far."""
+        return self.log_path.read_text(errors="replace")
+
+    async def ready(self) -> None:
+        """Waits until the process listens."""
+        with trio.fail_after(READY_SECONDS):
+            while " ready name=" not in self.log():
+                assert self.process.poll() is None, self.log()
+                await trio.sleep(0.02)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self.process.send_signal(number)
+
+    def close(self) -> None:
+        """Kills the process if it still runs."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+@dataclass
+class Play:
+    """A dispatcher process with its workers and its discovery."""
+
+    folder: Path
+    listening: socket.socket
+    config: dict
+    discovery: Discovery
+    nursery: trio.Nursery
+    processes: list[DispatcherProcess] = field(default_factory=list)
+
+    async def start_dispatcher(self, **config) -> DispatcherProcess:
+        """Starts a process on the socket that all processes of the play share, and waits until it listens."""
+        name = f"n{len(self.processes)}"
+        process = DispatcherProcess(self.folder, name, {**self.config, **config}, self.listening)
+        self.processes.append(process)
+        await process.ready()
+        return process
+
+    async def client(self) -> Client:
+        """Opens a client connection."""
+        return Client(await trio.open_tcp_stream(*self.listening.getsockname()))
+
+    async def ask(self, target: str, id: str, key: str = "", **more) -> Reply:
+        """Sends a request on a connection of its own and returns the reply."""
+        client = await self.client()
+        try:
+            return await client.ask(target, **self.headers(id, key), **more)
+        finally:
+            await client.stream.aclose()
+
+    @staticmethod
+    def headers(id: str, key: str) -> dict:
+        """Returns the headers of a request with 5 s of time."""
+        return {"X_Request_ID": id, "Idempotency_Key": key or None, "X_Timeout_Ms": "5000"}
+
+
+@asynccontextmanager
+async def play(
+    folder: Path, workers: list[QueueWorker], settings: dict, **config
+) -> AsyncIterator[Play]:
+    """Runs the workers, a discovery and one dispatcher process."""
+    async with trio.open_nursery() as nursery:
+        for worker in workers:
+            await nursery.start(worker.serve)
+        discovery = Discovery(workers)
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            host, port = listening.getsockname()
+            raw = {
+                "name": "n",
+                "listen": f"{host}:{port}",
+                "discovery": await discovery.serve(nursery),
+                "known": {"version": 1, "full": True, "servers": [w.entry() for w in workers]},
+                "settings": settings,
+                "seed": "5",
+                **config,
+            }
+            running = Play(folder, listening, raw, discovery, nursery)
+            try:
+                await running.start_dispatcher()
+                yield running
+            finally:
+                for process in running.processes:
+                    process.close()
+                nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_late_repeats.py
@@ -0,0 +1,88 @@
+"""A keyed request that may have run is not sent after its window, however late its connection comes up.
+
+All tests run the real program. Windows and times are in ms; a worker judges by the bytes that it received.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+from fixture_late_connections import Play, QueueWorker, WorkerAttempt, keyed_settings, play
+from helper import trio_test
+
+from yewrill.net.worker_client import UNNAMED_ANSWER_PAUSE_SECONDS
+
+PROTOCOL_TOLERANCE_MS = 50.0  # each time limit of the rules is longer by this over sockets
+ANSWER_SLACK_MS = (
+    100.0  # from the end of the window to the answer of a request that may not be sent again
+)
+FAILS_AFTER_SECONDS = 0.12
+QUEUE_FULL_SECONDS = 0.6
+RUN_SECONDS = 0.05
+WINDOWS_MS = (300.0, 500.0, 1000.0)
+
+
+@dataclass
+class Fleet:
+    """Workers of one cell. The first attempt of each key fails, and no connection comes up from then on."""
+
+    attempts: list[WorkerAttempt] = field(default_factory=list)
+    workers: list[QueueWorker] = field(default_factory=list)
+    running: Play | None = None
+
+    def __post_init__(self) -> None:
+        self.workers = [QueueWorker(f"d{i}", self.attempts, self.behave) for i in range(2)]
+
+    async def behave(self, attempt: WorkerAttempt) -> None:
+        if attempt.target == "/tour":
+            await attempt.reject()
+        elif attempt.number > 0:
+            await trio.sleep(RUN_SECONDS)
+            await attempt.done()
+        else:
+            await self.fail_first(attempt)
+
+    async def fail_first(self, attempt: WorkerAttempt) -> None:
+        for worker in self.workers:
+            self.running.nursery.start_soon(worker.hold, FAILS_AFTER_SECONDS + QUEUE_FULL_SECONDS)
+            worker.forget_connections()
+        self.running.discovery.publish({**attempt.worker.entry(), "state": "DRAINING"})
+        await attempt.send_head()
+        await trio.sleep(FAILS_AFTER_SECONDS)
+        attempt.reset()
+
+    async def connect_all(self) -> None:
+        """Has the dispatcher hold an idle connection to every worker."""
+        await self.running.ask("/tour", "warm")
+        assert {attempt.worker.name for attempt in self.attempts} == {w.name for w in self.workers}
+        await trio.sleep(2 * UNNAMED_ANSWER_PAUSE_SECONDS)
+
+    def last_bytes_ms(self, key: str) -> list[float]:
+        """Returns when the last byte of each attempt arrived, from the first attempt's first byte."""
+        attempts = [attempt for attempt in self.attempts if attempt.key == key]
+        return [(each.last_byte - attempts[0].first_byte) * 1000.0 for each in attempts]
+
+
+@pytest.mark.parametrize("window", WINDOWS_MS)
+@pytest.mark.parametrize("kept", (True, False), ids=("kept_connection_breaks", "new_connection"))
+@trio_test
+async def test_a_keyed_retry_whose_connection_comes_up_after_the_window_is_not_sent(
+    kept, window, tmp_path
+):
+    """Guards against the incident: a retry sent 1.1 s after the first attempt, in a window of 1 s."""
+    fleet = Fleet()
+    async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
+        if kept:
+            await fleet.connect_all()
+        began = time.monotonic()
+        reply = await fleet.running.ask("/save", "r1", "k1")
+        answered_ms = (time.monotonic() - began) * 1000.0
+        await trio.sleep(QUEUE_FULL_SECONDS)
+        assert max(fleet.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
+        assert reply.status == 502
+        assert answered_ms <= window + ANSWER_SLACK_MS
+        log = fleet.running.processes[0].log()
+        assert ("worker_connection_stale" in log) is kept
