--- a/tests/fixture_late_connections.py
+++ b/tests/fixture_late_connections.py
@@ -118,6 +118,11 @@
                         accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
                         nursery.start_soon(self._converse, trio.SocketStream(accepted))
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections that are open."""
+        return len(self._streams)
+
     async def hold(self, seconds: float) -> None:
         """Lets no connection come up for some seconds."""
         if not self.held.is_set():
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -357,6 +357,7 @@
 # -- the management listener
 
 ADDED_METRICS = [  # metrics that f4043a5 did not have
+    ["app.held_back.window_over", "c"],
     ["app.held_back.repeats_another", "c"],
     *([f"app.retries.{outcome.name.lower()}", "c"] for outcome in RETRIED_OUTCOMES),
     *([f"app.send_delay_ms.le_{bound}", "c"] for bound in SEND_DELAY_BUCKETS_MS),
