Limit an attempt that waits by what another request of its key has sent meanwhile

What callers saw: of two requests of one key, the first waited for its connection while the second was sent; the first followed 0.9 s after it, in windows of 300 and 500 ms, and the job ran twice. Cause: the register of attempts judged zone and cell but no time, and began the window with a record that is made before the connection is there. Change: the register gives the same value as the policy module (repeat_until), asked for before the first byte; the window begins with the first byte of any request of the identity, which also ends the waits of the others in time. A request that is held back tells the policy module why, so that it goes to the same cell or fails. An entry lives as long as its attempt can be in flight; one that processes have sent to several cells permits nothing. The stateful test of the register compares the time.

--- a/tests/fixture_late_connections.py
+++ b/tests/fixture_late_connections.py
@@ -336,6 +336,8 @@
             running = Play(folder, listening, raw, discovery, nursery)
             try:
                 await running.start_dispatcher()
+                while not any("from=" in target for _, target in discovery.calls):
+                    await trio.sleep(0.01)
                 yield running
             finally:
                 for process in running.processes:
--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -105,3 +105,52 @@
         assert (await fleet.running.ask("/tour", "r2")).status == 200
         assert [attempt.worker for attempt in fleet.attempts] == [drained, other]
         assert other.open_connections == 1
+
+
+@dataclass
+class KeyTwice:
+    """A worker whose connections come up late, and a second one that is listed later."""
+
+    attempts: list[WorkerAttempt] = field(default_factory=list)
+
+    async def serve(self, attempt: WorkerAttempt) -> None:
+        await trio.sleep(RUN_SECONDS)
+        await attempt.done()
+
+    def last_bytes_ms(self) -> list[float]:
+        return [(each.last_byte - self.attempts[0].first_byte) * 1000.0 for each in self.attempts]
+
+
+@pytest.mark.parametrize("window", (300.0, 500.0))
+@trio_test
+async def test_a_request_that_waits_for_its_connection_is_not_sent_after_another_of_its_key(
+    window, tmp_path
+):
+    """Guards against the window of a key that begins with another request, while this one waits."""
+    fleet = KeyTwice()
+    late, ready = (QueueWorker(name, fleet.attempts, fleet.serve) for name in ("d0", "d1"))
+    replies, times = {}, {}
+    async with play(tmp_path, [late], keyed_settings(window), mgmt="127.0.0.1:0") as running:
+        await running.nursery.start(ready.serve)
+        running.nursery.start_soon(late.hold, QUEUE_FULL_SECONDS)
+        await trio.sleep(0.05)
+
+        async def ask(id: str) -> None:
+            replies[id] = await running.ask("/save", id, "k1")
+            times[id] = time.monotonic()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "first")
+            await trio.sleep(0.05)
+            running.discovery.publish(ready.entry())
+            await trio.sleep(0.05)
+            nursery.start_soon(ask, "second")
+        fleet.attempts[:] = [attempt for attempt in fleet.attempts if attempt.key]
+        assert fleet.attempts[0].id == "second"
+        assert max(fleet.last_bytes_ms()) <= window + PROTOCOL_TOLERANCE_MS
+        assert replies["second"].status == 200
+        assert replies["first"].status in (200, 502)
+        answered_ms = (times["first"] - fleet.attempts[0].first_byte) * 1000.0
+        assert answered_ms <= window + ANSWER_SLACK_MS
+        await trio.sleep(QUEUE_FULL_SECONDS)
+        assert max(fleet.last_bytes_ms()) <= window + PROTOCOL_TOLERANCE_MS
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -16,11 +16,13 @@
 from yewrill.dispatch.attempt_register import AttemptRegister, RequestIdentity, SentAttempt
 from yewrill.net.connection import Connection
 from yewrill.policy.interface import Idempotency, RequestClass
+from yewrill.policy.repeat_window import NEVER, NO_LIMIT
 from yewrill.service.attempt_exchange import AttemptExchange
 from yewrill.service.hot_restart import HotRestart, _Link
 from yewrill.store import Store
 
-WINDOW = 100.0
+WINDOW = 1000.0
+MARGIN = 100.0  # what is left of a window for the longest hold-up of a process
 MAX_ENTRIES = 6
 
 
@@ -51,11 +53,17 @@
         kind = Idempotency.IDEMPOTENT_BY_KEY if by_key else Idempotency.NON_IDEMPOTENT
         spec = RequestClass("c", 1.0, 1.0, idempotency=kind, group="cell", window=WINDOW)
         known = self.register.find(sender.identity, self.now)
-        allowed = self.register.may_send(sender.identity, sender, spec, 0, cell)
-        assert allowed == (known is None or (by_key and known.cell == cell))
-        if allowed:
+        until = self.register.send_until(sender.identity, sender, spec, 0, cell)
+        if known is None:
+            assert until == NO_LIMIT
+        elif by_key and known.cell == cell:
+            assert until == pytest.approx(self.now - known.age_ms + WINDOW - MARGIN)
+        else:
+            assert until == NEVER
+        if self.now < until:
             attempt = SentAttempt(self.now, self.now + WINDOW, 0, cell)
             self.register.add(sender.identity, sender, attempt)
+            self.register.first_byte(sender.identity, self.now)
             self.in_flight[sender] = attempt
 
     @rule(at=st.integers(0, 5), ran=st.booleans())
--- a/tests/test_rules_checks.py
+++ b/tests/test_rules_checks.py
@@ -13,6 +13,7 @@
     may_send,
 )
 from yewrill.policy import interface as api
+from yewrill.policy.repeat_window import NEVER
 
 
 @pytest.mark.parametrize(
@@ -23,7 +24,7 @@
         (SendFacts(10.0, 20.0, False, False), HeldBack.WORKER_UNAVAILABLE),
         (SendFacts(10.0, 20.0, True, True), HeldBack.CLIENT_GONE),
         (SendFacts(10.0, 20.0, True, False, record_kept=False), HeldBack.RECORD_NOT_KEPT),
-        (SendFacts(10.0, 20.0, True, False, may_repeat=False), HeldBack.REPEATS_ANOTHER),
+        (SendFacts(10.0, 20.0, True, False, send_until=NEVER), HeldBack.REPEATS_ANOTHER),
         (SendFacts(10.0, 20.0, True, False, send_until=10.0), HeldBack.WINDOW_OVER),
         (SendFacts(10.0, 20.0, True, False, send_until=10.1), None),
     ],
--- a/yewrill/policy/attempts.py
+++ b/yewrill/policy/attempts.py
@@ -149,11 +149,13 @@
         self._learn(attempt, event)
         if event.report:
             worker.apply_report(event.report)
+        if event.earlier_attempt_age >= 0:
+            sent_at = self.estimate.now - event.earlier_attempt_age
+            request.record_run(sent_at, event.earlier_attempt_zone, event.earlier_attempt_cell)
         if event.outcome not in api.NEVER_RAN and request.ran_at is None:
             # `ran_at` is never reset: a later attempt that never ran does not show that an earlier one did
             # not run.
-            request.ran_at = attempt.sent_at
-            request.ran_zone, request.ran_cell = worker.zone, worker.cell
+            request.record_run(attempt.sent_at, worker.zone, worker.cell)
         return attempt
 
     def _release_or_keep_slots(self, attempt: Attempt, event: api.AttemptEnded) -> None:
--- a/yewrill/policy/interface.py
+++ b/yewrill/policy/interface.py
@@ -265,6 +265,11 @@
     report: Mapping[str, float] | None = None
     # The attempt was lost on a reused connection, which says little about the state of the worker.
     stale_connection: bool = False
+    # An attempt of another request that may be the same job, by which this one was held back: how long ago it
+    # was sent (-1: none), and where.
+    earlier_attempt_age: float = -1.0
+    earlier_attempt_zone: int = -1
+    earlier_attempt_cell: int = -1
 
 
 @dataclass(slots=True)
--- a/yewrill/policy/requests.py
+++ b/yewrill/policy/requests.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from math import inf
 
 from yewrill.policy import interface as api
 from yewrill.policy.client_timeout import ClientTimeoutEstimate
@@ -204,6 +205,15 @@
         missing = max(0.0, longest - run_time) / (1 + self.class_state.run_times_seen)
         return self.slots_needed * (run_time + missing)
 
+    def record_run(self, sent_at: float, zone: int, cell: int) -> None:
+        """Records an attempt that may have run. The first one counts for the window."""
+        if self.ran_at is None:
+            self.ran_at, self.ran_zone, self.ran_cell = sent_at, zone, cell
+        elif cell != self.ran_cell:
+            self.ran_at = -inf  # no single cell detects all duplicates
+        else:
+            self.ran_at = min(self.ran_at, sent_at)
+
     def repeat_until(self) -> float:
         """Returns the time from which the request may not be sent again, for all that it has sent."""
         return repeat_until(self.spec.idempotency, self.spec.window, self.ran_at)
