Discard the output of a connection to a worker that is given up

What callers saw: a request ran 0.3 s after its client had got the final answer. Its 60 KB had been given to the kernel, and the worker's machine took them late. Cause: giving an attempt up closed its connection in order, and the kernel went on delivering what it had; an attempt counts once its last byte has arrived. Change: a connection with bytes that the worker has not acknowledged is reset. Evidence: the_bytes_of_an_attempt_that_was_given_up fails before, holds now. Class: the permission to send ended between the first byte and the last.

--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -22,6 +22,8 @@
 FAILS_AFTER_SECONDS = 0.12
 QUEUE_FULL_SECONDS = 0.6
 SYN_RESENT_SECONDS = 1.0
+LARGE_BODY = b"x" * 60_000  # more than a worker's small receive buffer holds
+SMALL_BUFFER_BYTES = 4096
 RUN_SECONDS = 0.05
 WINDOWS_MS = (300.0, 500.0, 1000.0)
 
@@ -154,3 +156,19 @@
         assert answered_ms <= window + ANSWER_SLACK_MS
         await trio.sleep(QUEUE_FULL_SECONDS)
         assert max(fleet.last_bytes_ms()) <= window + PROTOCOL_TOLERANCE_MS
+
+
+@trio_test
+async def test_the_bytes_of_an_attempt_that_was_given_up_do_not_arrive_later(tmp_path):
+    """Guards against a request that runs after its final answer, since its bytes were with the kernel."""
+    attempts: list[WorkerAttempt] = []
+    worker = QueueWorker("d0", attempts, WorkerAttempt.done, receive_buffer=SMALL_BUFFER_BYTES)
+    async with play(tmp_path, [worker], keyed_settings(1000.0)) as running:
+        worker.reading = trio.Event()
+        client = await running.client()
+        headers = {**running.headers("r1", "k1"), "X_Timeout_Ms": "900"}
+        reply = await client.ask("/save", body=LARGE_BODY, **headers)
+        assert reply.status in (502, 503)
+        worker.reading.set()
+        await trio.sleep(QUEUE_FULL_SECONDS)
+        assert not attempts
--- a/yewrill/net/worker_connections.py
+++ b/yewrill/net/worker_connections.py
@@ -155,9 +155,11 @@
             self.discard(connection)
 
     def discard(self, connection: WorkerConnection) -> None:
-        """Closes a connection, if it is not closed already."""
+        """Closes a connection, if it is not closed already.
+
+        A request of which the worker has not acknowledged all bytes does not arrive any more."""
         if not connection.http.connection.closed:
-            connection.http.connection.close()
+            connection.http.connection.close_discarding_output()
             self.open -= 1
 
     def limit(self, max_open: int) -> None:
