--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -22,6 +22,7 @@
 FAILS_AFTER_SECONDS = 0.12
 QUEUE_FULL_SECONDS = 0.6
 SYN_RESENT_SECONDS = 1.0
+READ_AFTER_SECONDS = 1.4
 LARGE_BODY = b"x" * 60_000  # more than a worker's small receive buffer holds
 SMALL_BUFFER_BYTES = 4096
 RUN_SECONDS = 0.05
@@ -172,3 +173,44 @@
         worker.reading.set()
         await trio.sleep(QUEUE_FULL_SECONDS)
         assert not attempts
+
+
+@dataclass
+class LateReaders(Fleet):
+    """Workers whose machines take the bytes of a repeat late, after the kernel has got all of them."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        for worker in self.workers:
+            worker.receive_buffer = SMALL_BUFFER_BYTES
+
+    async def fail_first(self, attempt: WorkerAttempt) -> None:
+        for worker in self.workers:
+            worker.reading = trio.Event()
+        self.running.nursery.start_soon(self.read_later)
+        await attempt.send_head()
+        await trio.sleep(FAILS_AFTER_SECONDS)
+        attempt.reset()
+
+    async def read_later(self) -> None:
+        await trio.sleep(READ_AFTER_SECONDS)
+        for worker in self.workers:
+            worker.reading.set()
+
+
+@pytest.mark.parametrize("window", WINDOWS_MS)
+@trio_test
+async def test_a_keyed_retry_whose_last_byte_would_arrive_after_the_window_is_withdrawn(
+    window, tmp_path
+):
+    """Guards against judging a repeat by its first byte: it counts once its last one has arrived."""
+    fleet = LateReaders()
+    async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
+        client = await fleet.running.client()
+        began = time.monotonic()
+        reply = await client.ask("/save", body=LARGE_BODY, **fleet.running.headers("r1", "k1"))
+        answered_ms = (time.monotonic() - began) * 1000.0
+        await trio.sleep(READ_AFTER_SECONDS)
+        assert max(fleet.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
+        assert reply.status == 502
+        assert answered_ms <= window + ANSWER_SLACK_MS
