Policy: a repeat window begins with the first byte, not with the choice of the attempt

What callers saw: nothing wrong, but a keyed request whose first connection came up late was failed at once, though its window had hardly begun. Cause: the policy module counted from the choice, the checks from the first byte. Change: it counts from the end of the attempt less the time since its first byte. Evidence: the_window_begins_with_the_first_byte fails before, holds now.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -460,6 +460,27 @@
     }
 
 
+def test_the_window_begins_with_the_first_byte_and_not_with_the_choice():
+    """Guards against giving up a retry for the time that the first connection took."""
+    spec = api.RequestClass(
+        "save",
+        2000.0,
+        9000.0,
+        idempotency=api.Idempotency.IDEMPOTENT_BY_KEY,
+        group="cell",
+        window=500.0,
+    )
+    for elapsed, expected in ((30.0, api.Send), (500.0, api.Fail)):
+        dispatcher = Dispatcher(api.Settings([spec], max_attempts=3), 1)
+        workers = [api.WorkerEntry(f"w{i}") for i in range(2)]
+        dispatcher.handle(0.0, [api.WorkerList(api.ListForm.FULL, workers)])
+        [send] = dispatcher.handle(1.0, [api.RequestArrived("j", 0, 9000.0)])[:1]
+        ended = api.AttemptEnded("j", 0, send.worker, api.PolicyOutcome.CONNECTION_LOST, elapsed)
+        actions = dispatcher.handle(601.0, [ended])
+        kinds = [type(a) for a in actions if isinstance(a, (api.Send, api.Fail, api.Reject))]
+        assert kinds == [expected]
+
+
 def test_a_window_longer_than_the_clock_has_run_is_applied_in_full():
     # The dispatcher's clock starts at 1,000 s, and the request's first attempt is longer ago than that.
     classes = [
--- a/yewrill/policy/attempts.py
+++ b/yewrill/policy/attempts.py
@@ -155,7 +155,9 @@
         if event.outcome not in api.NEVER_RAN and request.ran_at is None:
             # `ran_at` is never reset: a later attempt that never ran does not show that an earlier one did
             # not run.
-            request.record_run(attempt.sent_at, worker.zone, worker.cell)
+            # The connection may have come up long after the choice.
+            sent_at = self.estimate.now - event.elapsed if event.elapsed else attempt.sent_at
+            request.record_run(max(attempt.sent_at, sent_at), worker.zone, worker.cell)
         return attempt
 
     def _release_or_keep_slots(self, attempt: Attempt, event: api.AttemptEnded) -> None:
