Register of attempts: keep an entry as long as the last attempt that counts

What callers could see: a key that was forgotten while a repeat of it, sent late in the window, was still in flight; a third request of the key is then sent anywhere. Cause: the entry's end was that of the first attempt.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -155,6 +155,17 @@
             assert isinstance(store, Store)
 
 
+def test_an_entry_lives_as_long_as_the_last_attempt_that_counts():
+    """Guards against forgetting a key while a repeat of it, sent late in the window, is in flight."""
+    register = AttemptRegister()
+    identity = RequestIdentity("c", "t", "k")
+    register.add(identity, "first", SentAttempt(0.0, WINDOW, 0, 0))
+    register.add(identity, "repeat", SentAttempt(0.7 * WINDOW, 1.7 * WINDOW, 0, 0))
+    register.ended(identity, "repeat", ran=True)
+    assert register.find(identity, 1.6 * WINDOW) is not None
+    assert register.find(identity, 1.8 * WINDOW) is None
+
+
 @trio_test
 async def test_a_request_that_was_turned_away_everywhere_may_come_again_at_once():
     """Guards against a memory of attempts that never ran."""
