A window that a reload shortens holds for open requests too

What callers saw: SIGHUP shortened a window from 3 s to 0.5 s while the connection of a repeat came up; the repeat was sent 1.15 s after the first attempt. Decision: window is 'how long repeats are discarded'. The shorter of the window at the arrival and that in force holds: a shorter one at once, a longer one for new requests.

--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from dataclasses import dataclass, field
 
@@ -228,3 +229,30 @@
         assert reply.status == 502
         assert answered_ms <= window + ANSWER_SLACK_MS
         assert len(fleet.attempts) == 1
+
+
+@trio_test
+async def test_a_window_that_a_reload_shortens_holds_for_a_repeat_that_waits_for_its_connection(
+    tmp_path,
+):
+    """Guards against a permission granted under settings that are replaced before it is used."""
+    fleet = Fleet()
+    shorter = 500.0
+    async with play(tmp_path, fleet.workers, keyed_settings(3000.0)) as fleet.running:
+        [process] = fleet.running.processes
+
+        async def reload() -> None:
+            await trio.sleep(2 * FAILS_AFTER_SECONDS)
+            process.config = {**process.config, "settings": keyed_settings(shorter)}
+            process.write_config()
+            process.signal(signal.SIGHUP)
+
+        fleet.running.nursery.start_soon(reload)
+        began = time.monotonic()
+        reply = await fleet.running.ask("/save", "r1", "k1")
+        answered_ms = (time.monotonic() - began) * 1000.0
+        await trio.sleep(SYN_RESENT_SECONDS)
+        assert " reloaded " in process.log()
+        assert max(fleet.last_bytes_ms("k1")) <= shorter + PROTOCOL_TOLERANCE_MS
+        assert reply.status == 502
+        assert answered_ms <= shorter + ANSWER_SLACK_MS
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -53,7 +53,7 @@
         kind = Idempotency.IDEMPOTENT_BY_KEY if by_key else Idempotency.NON_IDEMPOTENT
         spec = RequestClass("c", 1.0, 1.0, idempotency=kind, group="cell", window=WINDOW)
         known = self.register.find(sender.identity, self.now)
-        until = self.register.send_until(sender.identity, sender, spec, 0, cell)
+        until = self.register.send_until(sender.identity, sender, spec, WINDOW, 0, cell)
         if known is None:
             assert until == NO_LIMIT
         elif by_key and known.cell == cell:
