A key is not sent again after its window as long as its client may repeat it

What callers saw: a key that came again after its window was sent anywhere, as a new request (0.7 s after the window of 0.3 s here), and ran a second time. All tries of a client lie within the class's deadline; so long a key is known, also on disk. A key that comes later than that is a new request.

--- a/tests/fixture_late_connections.py
+++ b/tests/fixture_late_connections.py
@@ -303,7 +303,7 @@
         """Sends a request on a connection of its own and returns the reply."""
         client = await self.client()
         try:
-            return await client.ask(target, **self.headers(id, key), **more)
+            return await client.ask(target, **{**self.headers(id, key), **more})
         finally:
             await client.stream.aclose()
 
--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -256,3 +256,23 @@
         assert max(fleet.last_bytes_ms("k1")) <= shorter + PROTOCOL_TOLERANCE_MS
         assert reply.status == 502
         assert answered_ms <= shorter + ANSWER_SLACK_MS
+
+
+@pytest.mark.parametrize("state_dir", (False, True))
+@trio_test
+async def test_a_key_that_comes_again_after_its_window_is_not_sent_while_its_client_may_repeat_it(
+    state_dir, tmp_path
+):
+    """Guards against a second run of a key that workers have forgotten, and its client has not."""
+    window, deadline = 300.0, 2000.0
+    attempts: list[WorkerAttempt] = []
+    workers = [QueueWorker(f"d{i}", attempts, WorkerAttempt.done, cell=i) for i in range(2)]
+    state = {"state_dir": str(tmp_path / "state")} if state_dir else {}
+    settings = keyed_settings(window, deadline=deadline, aim=500.0)
+    async with play(tmp_path, workers, settings, **state) as running:
+        assert (await running.ask("/save", "r1", "k1", X_Timeout_Ms="500")).status == 200
+        await trio.sleep(0.5 * deadline / 1000.0)
+        assert (await running.ask("/save", "r2", "k1", X_Timeout_Ms="500")).status == 502
+        assert len(attempts) == 1
+        await trio.sleep(0.6 * deadline / 1000.0)
+        assert (await running.ask("/save", "r3", "k1", X_Timeout_Ms="500")).status == 200
