--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -276,3 +276,61 @@
         assert len(attempts) == 1
         await trio.sleep(0.6 * deadline / 1000.0)
         assert (await running.ask("/save", "r3", "k1", X_Timeout_Ms="500")).status == 200
+
+
+class Leavers(Fleet):
+    """A fleet whose first attempts hang, and whose clients leave."""
+
+    async def fail_first(self, attempt: WorkerAttempt) -> None:
+        self.running.discovery.publish({**attempt.worker.entry(), "state": "DRAINING"})
+        await trio.sleep_forever()
+
+    async def leave(self, id: str, key: str) -> float:
+        """Sends a request, leaves once a worker has it, and returns the time of its first byte."""
+        client = await self.running.client()
+        await client.send("/save", **self.running.headers(id, key))
+        while not self.attempts:
+            await trio.sleep(0.005)
+        await client.stream.aclose()
+        return self.attempts[0].first_byte
+
+    async def repeat_late(self, after: float, window: float) -> None:
+        """Sends the key again; no connection comes up for a while. Checks attempts and answer."""
+        first_byte = self.attempts[0].first_byte
+        await trio.sleep(first_byte + after - time.monotonic())
+        for worker in self.workers:
+            self.running.nursery.start_soon(worker.hold, QUEUE_FULL_SECONDS)
+        await trio.sleep(0.02)
+        reply = await self.running.ask("/save", "r2", "k1")
+        answered_ms = (time.monotonic() - first_byte) * 1000.0
+        await trio.sleep(SYN_RESENT_SECONDS)
+        assert max(self.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
+        assert reply.status == 502
+        assert answered_ms <= window + ANSWER_SLACK_MS
+
+
+@pytest.mark.parametrize("state_dir", (False, True))
+@pytest.mark.parametrize("window", WINDOWS_MS)
+@trio_test
+async def test_a_repeat_of_a_client_that_left_is_not_sent_after_the_window_of_its_first_request(
+    window, state_dir, tmp_path
+):
+    """Guards against a window that ends while the repeat waits for its connection."""
+    fleet = Leavers()
+    state = {"state_dir": str(tmp_path / "state")} if state_dir else {}
+    async with play(tmp_path, fleet.workers, keyed_settings(window), **state) as fleet.running:
+        await fleet.leave("r1", "k1")
+        await fleet.repeat_late(0.45 * window / 1000.0, window)
+
+
+@trio_test
+async def test_a_repeat_at_the_new_process_of_a_hot_restart_is_not_sent_after_the_window(tmp_path):
+    """Guards against a window that began in the old process and ends while the new one connects."""
+    fleet, window = Leavers(), 3000.0
+    async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
+        [old] = fleet.running.processes
+        await fleet.leave("r1", "k1")
+        new = await fleet.running.start_dispatcher()
+        old.signal(signal.SIGTERM)
+        await fleet.repeat_late(2.2, window)
+        assert "request=r2" in new.log()
