Soak: late connections, kept ones that break, short windows; the last byte is judged

The oracle judges a key, not an id, by the first byte of its first attempt and the arrival of the last byte of each other; new rule KEYED_GROUP; a pause excuses a late repeat beyond 0.15 s only.

--- a/tests/fixture_late_connections.py
+++ b/tests/fixture_late_connections.py
@@ -26,7 +26,8 @@
 import ujson
 from helper import SETTINGS, Client, Discovery, Reply
 
-FILLING_CONNECTIONS = 2  # enough for a listening queue of length 0
+from yewrill.lab.soak.late_listener import LateListener
+
 READY_SECONDS = 20.0
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
@@ -90,55 +91,26 @@
     receive_buffer: int = (
         0  # size of the receive buffer of its connections, in bytes; 0: the system's
     )
-    port: int = 0
-    held: trio.Event = field(default_factory=trio.Event)  # set while connections are accepted
+    listener: LateListener | None = None
     reading: trio.Event = field(default_factory=trio.Event)  # set while input is read
     _streams: set = field(default_factory=set)
     _forgotten: set = field(default_factory=set)
-    _listening: socket.socket | None = None
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listens and serves connections until cancelled."""
-        with socket.socket() as listening:
-            if self.receive_buffer:
-                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            listening.setblocking(False)
-            self._listening = listening
-            self.port = listening.getsockname()[1]
-            self.held.set()
-            self.reading.set()
-            async with trio.open_nursery() as nursery:
-                task_status.started()
-                while True:
-                    await trio.lowlevel.wait_readable(listening)
-                    await self.held.wait()
-                    with suppress(BlockingIOError):
-                        accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
-                        nursery.start_soon(self._converse, trio.SocketStream(accepted))
+        self.reading.set()
+        self.listener = LateListener(self._converse)
+        await self.listener.serve(self.receive_buffer, task_status=task_status)
+
+    async def hold(self, seconds: float) -> None:
+        """Lets no connection come up for some seconds."""
+        await self.listener.hold(seconds)
 
     @property
     def open_connections(self) -> int:
         """The number of connections that are open."""
         return len(self._streams)
 
-    async def hold(self, seconds: float) -> None:
-        """Lets no connection come up for some seconds."""
-        if not self.held.is_set():
-            return
-        self.held = trio.Event()
-        self._listening.listen(0)
-        filling = [socket.socket() for _ in range(FILLING_CONNECTIONS)]
-        for sock in filling:
-            sock.setblocking(False)
-            sock.connect_ex(("127.0.0.1", self.port))
-        await trio.sleep(seconds)
-        for sock in filling:
-            sock.close()
-        self._listening.listen()
-        self.held.set()
-
     def forget_connections(self) -> None:
         """Lets every open connection break under its next byte, as after a machine has forgotten it."""
         self._forgotten |= self._streams
@@ -191,7 +163,7 @@
         """Returns the worker's entry in the endpoint list."""
         return {
             "id": self.name,
-            "addr": f"127.0.0.1:{self.port}",
+            "addr": "{}:{}".format(*self.listener.address),
             "zone": self.zone,
             "kind": "std",
             "cell": self.cell,
--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -222,7 +222,8 @@
 async def test_a_keyed_retry_without_a_worker_is_answered_when_its_window_ends(window, tmp_path):
     """Guards against a request that waits for a worker of its cell when it may not be sent any more."""
     fleet = Fleet()
-    async with play(tmp_path, fleet.workers[:1], keyed_settings(window)) as fleet.running:
+    fleet.workers.pop()
+    async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
         began = time.monotonic()
         reply = await fleet.running.ask("/save", "r1", "k1")
         answered_ms = (time.monotonic() - began) * 1000.0
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -28,6 +28,8 @@
     warm_after=3.0,
     cold_multiple=1.5,
     cold_window=1.0,
+    keyed_group="cell",
+    keyed_deadline=5.0,
 )
 
 
@@ -43,7 +45,12 @@
 
 
 def attempt(id, kind="tour", at=10.02, **more) -> Attempt:
-    fields = {"received_at": at, "finished": at + 0.05, "end": AttemptEnd.ANSWERED}
+    fields = {
+        "received_at": at,
+        "arrived_at": at,
+        "finished": at + 0.05,
+        "end": AttemptEnd.ANSWERED,
+    }
     return Attempt(id, f"k-{id}", kind, "w0", 1.9, at, **{**fields, **more})
 
 
@@ -105,6 +112,26 @@
     history.attempts.append(attempt("b", "save", at=13.5))
 
 
+def keyed_last_byte_after_its_window(history):
+    history.requests[1].client_timeout, history.requests[1].finished = 10.0, 14.0
+    history.attempts.append(attempt("b", "save", at=12.5, arrived_at=13.5))
+
+
+def key_again_after_its_window(history):
+    history.requests.append(request("b2", "save", at=13.4))
+    history.attempts.append(attempt("b2", "save", at=13.5))
+    history.attempts[-1].key = "k-b"
+
+
+def keyed_in_another_cell(history):
+    history.attempts.append(attempt("b", "save", at=10.2, cell=1))
+
+
+def keyed_rejected_but_ran(history):
+    history.requests[1].status = 503
+    history.calm_spans = []
+
+
 def rejected_but_ran(history):
     history.requests[2].status = 503
     history.calm_spans = []
@@ -166,6 +193,10 @@
     overlapping_attempts: Rule.OVERLAP,
     non_idempotent_twice: Rule.UNSAFE_ONCE,
     keyed_after_its_window: Rule.KEYED_WINDOW,
+    keyed_last_byte_after_its_window: Rule.KEYED_WINDOW,
+    key_again_after_its_window: Rule.KEYED_WINDOW,
+    keyed_in_another_cell: Rule.KEYED_GROUP,
+    keyed_rejected_but_ran: Rule.REFUSED_RAN,
     rejected_but_ran: Rule.REFUSED_RAN,
     timeout_too_long: Rule.TOLD_TIME,
     over_the_cold_budget: Rule.COLD_BUDGET,
@@ -223,6 +254,25 @@
     assert [breach.rule for breach in judge(history, TERMS)] == [Rule.NOT_CLOSED]
 
 
+def test_a_key_that_comes_after_the_time_of_its_client_is_a_new_request():
+    history = clean_history()
+    history.requests.append(request("b2", "save", at=16.0))
+    history.attempts.append(attempt("b2", "save", at=16.1, cell=1))
+    history.attempts[-1].key = "k-b"
+    assert judge(history, TERMS) == []
+
+
+def test_a_hold_up_excuses_a_late_repeat_only_beyond_what_the_rules_allow_for():
+    # Guards against an oracle that takes a pause which the dispatcher has to cover for an excuse.
+    for pause, rules in ((0.15, [Rule.KEYED_WINDOW]), (0.4, [])):
+        history = clean_history()
+        history.requests[1].client_timeout, history.requests[1].finished = 10.0, 14.0
+        history.attempts.append(attempt("b", "save", at=13.2))
+        history.process_events.insert(2, process_event(ProcessState.PAUSED, 12.7))
+        history.process_events.insert(3, process_event(ProcessState.RESUMED, 12.7 + pause))
+        assert [breach.rule for breach in judge(history, TERMS)] == rules
+
+
 def test_a_seed_draws_the_same_plan_and_faults_overlap():
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
--- a/yewrill/lab/soak/events.py
+++ b/yewrill/lab/soak/events.py
@@ -66,8 +66,9 @@
 class Attempt:
     """One attempt as its worker saw it.
 
-    `begun_at` is the time of its first byte, `received_at` of its last. `send_number` is that of its request,
-    0 if the attempt was never received in full.
+    `begun_at` is the time of its first byte, `received_at` the time at which its last one was read, and
+    `arrived_at` the time at which that one arrived at the worker's machine. `send_number` is that of its
+    request, 0 if the attempt was never received in full.
     """
 
     id: str
@@ -80,6 +81,8 @@
     finished: float | None = None
     end: AttemptEnd | None = None
     send_number: int = 0
+    arrived_at: float = 0.0
+    cell: int = 0  # the cell of its worker
     # Whether the dispatcher had closed the connection before the worker read the request.
     stale: bool = False
 
--- a/yewrill/lab/soak/nodes.py
+++ b/yewrill/lab/soak/nodes.py
@@ -82,7 +82,7 @@
                 "deadline": plan.classes.deadline * 1000.0,
                 **stretch,
                 "repeat": idempotency.value,
-                "group": "all",
+                "group": terms.keyed_group,
                 "window": terms.keyed_window * 1000.0,
                 "value": 1.0,
             }
@@ -107,7 +107,7 @@
                 "request_classes": classes,
                 "limits": {
                     "try_limit": 4,
-                    "connect_timeout": 300.0,
+                    "connect_timeout": plan.connect_timeout * 1000.0,
                     "idle_close": 5000.0,
                     "cancel": True,
                     "max_retry_after": 1000.0,
--- a/yewrill/lab/soak/oracle.py
+++ b/yewrill/lab/soak/oracle.py
@@ -36,6 +36,8 @@
 CLOCK_SLACK_SECONDS = 0.06
 # Time after the idempotency window that the protocol allows for delays on sockets.
 WINDOW_SLACK_SECONDS = 0.05
+# Time for which a process may be held up while a repeat is still in time.
+HOLD_UP_SECONDS = 0.15
 READY_LIMIT_SECONDS = 10.0
 # Smallest client timeout with which a healthy fleet serves every request.
 SERVED_CLIENT_TIMEOUT_SECONDS = 0.6
@@ -52,6 +54,9 @@
     OVERLAP = "attempts of one request never overlap"
     UNSAFE_ONCE = "a job that is not idempotent runs once"
     KEYED_WINDOW = "a job that is idempotent by key is not sent again after its window"
+    KEYED_GROUP = (
+        "a job that is idempotent by key is sent again only where its repeats are detected"
+    )
     REFUSED_RAN = "a job whose request was rejected has not run"
     TOLD_TIME = "a worker is told no more time than its client has left"
     COLD_BUDGET = "a cold worker gets no more requests than its slow start allows"
@@ -91,6 +96,10 @@
     cold_window: float
     persistent_state: bool = False
     memory_mb: int = 192
+    keyed_group: str = (
+        "all"  # the workers that detect repeats of a key: all of them, or those of a cell
+    )
+    keyed_deadline: float = 3.0  # a client repeats a key within this time after its first request
 
 
 def judge(history: History, terms: Terms) -> list[Breach]:
@@ -269,17 +278,33 @@
 def _check_keyed(indexed: _IndexedHistory) -> Iterator[Breach]:
     for attempts in _by_key(indexed, Effect.IDEMPOTENT_BY_KEY):
         for attempt in attempts[1:]:
-            # After the window, a client may repeat its request under a new id, but a dispatcher may not.
-            same_request = [a for a in attempts if a.id == attempt.id]
-            if (
-                attempt.begun_at - same_request[0].begun_at
-                > indexed.terms.keyed_window + WINDOW_SLACK_SECONDS + CLOCK_SLACK_SECONDS
-            ):
+            if _is_new_request(indexed, attempts[0], attempt):
+                continue
+            after = attempt.arrived_at - attempts[0].begun_at
+            if after > _window_limit(indexed, attempts[0], attempt):
+                yield Breach(
+                    Rule.KEYED_WINDOW, attempt.id, _describe(attempts[0]), _describe(attempt)
+                )
+            elif indexed.terms.keyed_group == "cell" and attempt.cell != attempts[0].cell:
                 yield Breach(
-                    Rule.KEYED_WINDOW, attempt.id, _describe(same_request[0]), _describe(attempt)
+                    Rule.KEYED_GROUP, attempt.id, _describe(attempts[0]), _describe(attempt)
                 )
 
 
+def _is_new_request(indexed: _IndexedHistory, first: Attempt, attempt: Attempt) -> bool:
+    """Returns whether a key came again, under another id, after its client could have repeated it."""
+    known_for = max(indexed.terms.keyed_window, indexed.terms.keyed_deadline)
+    return attempt.id != first.id and attempt.begun_at - first.begun_at > known_for
+
+
+def _window_limit(indexed: _IndexedHistory, first: Attempt, attempt: Attempt) -> float:
+    """Returns the longest allowed time from an attempt's first byte to the last byte of a repeat of it."""
+    limit = indexed.terms.keyed_window + WINDOW_SLACK_SECONDS + CLOCK_SLACK_SECONDS
+    request = indexed.by_id[attempt.id][-1]
+    paused = indexed.paused(request.dispatcher, first.begun_at, attempt.arrived_at)
+    return limit + max(0.0, paused - HOLD_UP_SECONDS)
+
+
 def _check_rejected(indexed: _IndexedHistory) -> Iterator[Breach]:
     for request in indexed.history.requests:
         if (
@@ -287,7 +312,8 @@
             or indexed.terms.effects.get(request.kind) is Effect.IDEMPOTENT
         ):
             continue
-        if indexed.terms.effects.get(request.kind) is Effect.IDEMPOTENT_BY_KEY:
+        keyed = indexed.terms.effects.get(request.kind) is Effect.IDEMPOTENT_BY_KEY
+        if keyed and indexed.terms.keyed_group == "all":
             # Workers discard repetitions within the window, so an attempt that ran does no harm.
             continue
         for attempt in indexed.attempts[request.id]:
--- a/yewrill/lab/soak/plan.py
+++ b/yewrill/lab/soak/plan.py
@@ -21,7 +21,14 @@
 RECOVERY_SECONDS = 5.0
 RECOVERY_OBJECTIVE_SECONDS = 0.4
 FINAL_CALM_SECONDS = 2.0
-KEYED_WINDOW = 3.0  # idempotency window, in seconds, of classes that are idempotent by key
+# Idempotency windows, in seconds, of classes that are idempotent by key.
+KEYED_WINDOWS_SECONDS = (0.3, 0.5, 1.0, 3.0)
+KEYED_GROUPS = ("all", "cell")
+CELLS = 2  # number of cells of workers
+CONNECT_TIMEOUTS_SECONDS = (0.3, 1.5, 1.5)
+LATE_SPELL_PROBABILITY = 0.6  # of a run in which connections come up late
+LATE_SECONDS = (0.3, 1.4)  # range of the time for which workers accept no connection
+LATE_SPELL_INTERVAL_SECONDS = (0.8, 2.0)
 # The grace period from SIGTERM to SIGKILL is the deadline, up to the first value, plus the second.
 MAX_GRACE_DEADLINE_SECONDS = 3.0
 GRACE_AFTER_DEADLINE_SECONDS = 0.7
@@ -60,6 +67,8 @@
     WORKER_UNREAD = "workers stop reading"
     WORKER_SLOW = "workers take a multiple of their run time"
     WORKER_COLD = "workers restart cold"
+    WORKER_LATE = "workers accept no connections, which come up late"
+    WORKER_FORGETS = "the connections of workers break under their next request"
     WORKER_DRAINS = "workers drain and return"
     DISCOVERY_SILENT = "discovery does not answer"
     DISCOVERY_GONE = "discovery resets every call"
@@ -113,6 +122,7 @@
     classes: ClassTerms
     first_run_factor: float  # factor on the run time of each worker's first run
     sockets: int
+    connect_timeout: float
     # Whether the test holds the listening sockets and passes them on to the dispatchers.
     inherited_sockets: bool
     membership: bool  # whether members and views are configured
@@ -187,6 +197,8 @@
 ) -> Plan:
     """Returns the plan of a seed, without the faults whose numbers are in `leave_out`."""
     rng = random.Random(seed)
+    # A source of its own, so that the rest of a plan does not depend on what is drawn here.
+    late_rng = random.Random(f"{seed}/late")
     inherited_sockets = rng.random() < 0.25
     persistent_state = rng.random() < 0.6
     membership = rng.random() < 0.25
@@ -198,7 +210,9 @@
     classes = _draw_classes(rng)
     terms = Terms(
         effects,
-        keyed_window=KEYED_WINDOW,
+        keyed_window=late_rng.choice(KEYED_WINDOWS_SECONDS),
+        keyed_group=late_rng.choice(KEYED_GROUPS),
+        keyed_deadline=classes.deadline,
         grace=min(classes.deadline, MAX_GRACE_DEADLINE_SECONDS) + GRACE_AFTER_DEADLINE_SECONDS,
         slots=4,
         run=rng.choice((0.03, 0.06)) if classes.objective >= 0.2 else 0.03,
@@ -234,6 +248,9 @@
             if fault.at < until:
                 faults.append(fault)
         at += rng.uniform(0.5, 1.2)
+    connect_timeout = late_rng.choice(CONNECT_TIMEOUTS_SECONDS)
+    if late_rng.random() < LATE_SPELL_PROBABILITY:
+        faults += _draw_late_spells(late_rng, len(faults), until, dispatchers, workers, terms.grace)
     return Plan(
         seed,
         dispatchers,
@@ -244,12 +261,45 @@
         classes=classes,
         first_run_factor=rng.choice((1.0, 1.0, 4.0, 8.0)),
         sockets=CROWDED_SOCKETS if crowded else SOCKETS,
+        connect_timeout=connect_timeout,
         inherited_sockets=inherited_sockets,
         membership=membership,
         faults=tuple(fault for fault in faults if fault.number not in leave_out),
     )
 
 
+# Faults that come with late connections: attempts fail, so that requests are sent again, and what may end a
+# permission to send them meanwhile.
+_LATE_SPELLS = (
+    (Kind.WORKER_RESETS,),
+    (Kind.WORKER_RESETS, Kind.PAUSE),
+    (Kind.WORKER_HANGS, Kind.CLIENTS_LEAVE),
+    (Kind.WORKER_RESETS, Kind.CLIENTS_LEAVE, Kind.PAUSE),
+    (Kind.WORKER_HALF, Kind.RELOAD),
+    (Kind.WORKER_RESETS, Kind.WORKER_UNREAD),
+)
+
+
+def _draw_late_spells(
+    rng: random.Random, number: int, until: float, dispatchers: int, workers: int, grace: float
+) -> list[Fault]:
+    """Draws spells in which connections come up late and kept ones break, with other faults."""
+    faults: list[Fault] = []
+    at = INITIAL_CALM_SECONDS + rng.uniform(0.0, 0.5)
+    while at < until:
+        affected = tuple(sorted(rng.sample(range(workers), rng.choice((2, workers - 1, workers)))))
+        all_dispatchers = tuple(range(dispatchers))
+        duration = rng.uniform(*LATE_SECONDS)
+        for kind in (Kind.WORKER_FORGETS, Kind.WORKER_LATE, *rng.choice(_LATE_SPELLS)):
+            begins = at + (rng.uniform(0.0, duration) if kind in (Kind.PAUSE, Kind.RELOAD) else 0.0)
+            length = _duration_at_process(kind, grace) or duration
+            faults.append(
+                Fault(number + len(faults), kind, begins, length, all_dispatchers, affected)
+            )
+        at += duration + rng.uniform(*LATE_SPELL_INTERVAL_SECONDS)
+    return [fault for fault in faults if fault.at < until]
+
+
 def _draw_classes(rng: random.Random) -> ClassTerms:
     return ClassTerms(
         objective=rng.choice((0.08, 0.15, 0.25, 0.4, 0.8)),
@@ -266,6 +316,8 @@
 def _is_applicable(
     kind: Kind, inherited_sockets: bool, persistent_state: bool, crowded: bool
 ) -> bool:
+    if kind in (Kind.WORKER_LATE, Kind.WORKER_FORGETS):
+        return False  # drawn apart
     if kind in (Kind.UPGRADE, Kind.UPGRADE_KILL):
         return inherited_sockets
     if kind is Kind.CLIENTS_CROWD:
--- a/yewrill/lab/soak/play.py
+++ b/yewrill/lab/soak/play.py
@@ -20,6 +20,7 @@
 from yewrill.lab.soak.nodes import Node
 from yewrill.lab.soak.oracle import Breach, judge
 from yewrill.lab.soak.plan import (
+    CELLS,
     FINAL_CALM_SECONDS,
     IDLE_CLIENTS,
     INITIAL_CALM_SECONDS,
@@ -63,7 +64,7 @@
         self.wall_offset = 0.0
         self._rng = random.Random(f"{plan.seed}/ends")
         self.workers = [
-            Worker(f"w{i}", plan.terms, self.history, plan.seed, plan.first_run_factor)
+            Worker(f"w{i}", plan.terms, self.history, plan.seed, plan.first_run_factor, i % CELLS)
             for i in range(plan.workers)
         ]
         self.discoveries = [Discovery(self.workers, first) for first in FIRST_VERSIONS]
@@ -83,7 +84,9 @@
 
     async def open(self, stack: AsyncExitStack) -> None:
         """Opens the listeners of the simulated parties, writes configurations and starts the processes."""
-        for server in (*self.workers, *self.discoveries):
+        for worker in self.workers:
+            await self.nursery.start(worker.listener.serve)
+        for server in self.discoveries:
             listeners = await self.nursery.start(
                 partial(trio.serve_tcp, server.handle, 0, host="127.0.0.1")
             )
@@ -278,6 +281,8 @@
             for worker in affected:
                 worker.slow_factor = fault.slow_factor
                 worker.begin_fault(kind)
+                if kind is Kind.WORKER_LATE:
+                    self.nursery.start_soon(worker.listener.hold, fault.duration)
             await trio.sleep(fault.duration)
             for worker in affected:
                 worker.end_fault(kind)
--- a/yewrill/lab/soak/workers.py
+++ b/yewrill/lab/soak/workers.py
@@ -13,6 +13,7 @@
 
 from yewrill.lab.soak.events import Attempt, AttemptEnd, History, SlowStart
 from yewrill.lab.soak.http import DISCONNECTED, next_event, reset
+from yewrill.lab.soak.late_listener import LateListener
 from yewrill.lab.soak.oracle import Terms
 from yewrill.lab.soak.plan import Kind
 
@@ -55,16 +56,25 @@
     """A simulated worker. `active_faults` are the kinds of faults that affect it now."""
 
     def __init__(
-        self, name: str, terms: Terms, history: History, seed: int, first_run_factor: float = 1.0
+        self,
+        name: str,
+        terms: Terms,
+        history: History,
+        seed: int,
+        first_run_factor: float = 1.0,
+        cell: int = 0,
     ):
         self.name, self._terms, self._history = name, terms, history
+        self.cell = cell
+        self.listener = LateListener(self.handle)
+        # Connections that break under their next byte.
+        self._forgotten: set[trio.SocketStream] = set()
         self._rng = random.Random(f"{seed}/{name}")
         self.active_faults: list[Kind] = []
         self.state = "SERVING"
         self.slow_factor = 1.0  # factor on run times while the fault WORKER_SLOW is active
         self._first_run_factor = first_run_factor
         self.started_ms = 0.0
-        self.address: tuple[str, int] = ("", 0)
         self._started_at: float | None = None
         self._streams: set[trio.SocketStream] = set()
         self._free_slots = trio.Semaphore(terms.slots)
@@ -83,6 +93,8 @@
         self.active_faults.append(fault)
         if fault is Kind.WORKER_UNREAD:
             self._readable = trio.Event()
+        if fault is Kind.WORKER_FORGETS:
+            self._forgotten |= self._streams
 
     def end_fault(self, fault: Kind) -> None:
         """Ends a fault."""
@@ -94,10 +106,10 @@
         """Returns the entry of the worker in the endpoint list."""
         return {
             "id": self.name,
-            "addr": f"{self.address[0]}:{self.address[1]}",
+            "addr": "{}:{}".format(*self.listener.address),
             "zone": "room",
             "kind": "std",
-            "cell": 0,
+            "cell": self.cell,
             "state": self.state,
             "weight": 1.0,
             "started_ms": self.started_ms,
@@ -118,22 +130,21 @@
             while await self._exchange(stream, parser):
                 parser = h11.Connection(h11.SERVER)
         self._streams.discard(stream)
+        self._forgotten.discard(stream)
         reset(stream)
 
     async def _exchange(self, stream: trio.SocketStream, parser: h11.Connection) -> bool:
         """Serves one request; returns whether the connection may carry another."""
-        unread = Kind.WORKER_UNREAD in self.active_faults
         while Kind.WORKER_UNREAD in self.active_faults:
             await self._readable.wait()
         data = b""
         idle = 0.03 if Kind.WORKER_CLOSES_IDLE in self.active_faults else 1e9
         with trio.move_on_after(idle):
             data = await stream.receive_some(65536)
-        if not data:
+        if not data or stream in self._forgotten:
             return False
-        begun_at = self._history.now()
-        if unread:  # the attempt began when its data arrived, before the data was read
-            begun_at -= since_last_data(stream)
+        # The attempt began when its data arrived. It may have been read, or its connection accepted, later.
+        begun_at = self._history.now() - since_last_data(stream)
         parser.receive_data(data)
         found = await self._read_request(stream, parser, begun_at)
         if found is None:
@@ -143,6 +154,7 @@
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
         attempt.received_at = self._history.now()
+        attempt.arrived_at = attempt.received_at - since_last_data(stream)
         attempt.send_number = ujson.loads(body)["sending"]
         attempt.stale = is_closed(stream)
         try:
@@ -178,6 +190,7 @@
             self.name,
             float(headers.get("x-timeout-ms", "0")) / 1000.0,
             begun_at,
+            cell=self.cell,
         )
         self._history.attempts.append(attempt)
         return attempt
