--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -23,6 +23,7 @@
 FAILS_AFTER_SECONDS = 0.12
 QUEUE_FULL_SECONDS = 0.6
 SYN_RESENT_SECONDS = 1.0
+LEFT_SLACK_SECONDS = 0.1  # from a client's close to the last moment at which an attempt may begin
 READ_AFTER_SECONDS = 1.4
 LARGE_BODY = b"x" * 60_000  # more than a worker's small receive buffer holds
 SMALL_BUFFER_BYTES = 4096
@@ -335,3 +336,20 @@
         old.signal(signal.SIGTERM)
         await fleet.repeat_late(2.2, window)
         assert "request=r2" in new.log()
+
+
+@trio_test
+async def test_the_bytes_of_an_attempt_whose_client_has_left_do_not_arrive_later(tmp_path):
+    """Guards against an attempt that begins at its worker after its client has gone."""
+    attempts: list[WorkerAttempt] = []
+    worker = QueueWorker("d0", attempts, WorkerAttempt.done, receive_buffer=SMALL_BUFFER_BYTES)
+    async with play(tmp_path, [worker], keyed_settings(1000.0)) as running:
+        worker.reading = trio.Event()
+        client = await running.client()
+        await client.send("/save", body=LARGE_BODY, **running.headers("r1", "k1"))
+        await trio.sleep(FAILS_AFTER_SECONDS)
+        await client.stream.aclose()
+        await trio.sleep(LEFT_SLACK_SECONDS)
+        worker.reading.set()
+        await trio.sleep(QUEUE_FULL_SECONDS)
+        assert not attempts
