Soak: times of the kernel are as exact as its ticks

A false OVERLAP of seed 9228: an attempt that began after another was rejected got a time 4 ms before it, since the age of its data was counted in ticks. Ages of up to a tick count as 0.

--- a/yewrill/lab/soak/workers.py
+++ b/yewrill/lab/soak/workers.py
@@ -20,6 +20,7 @@
 RESPONSE_HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+KERNEL_TICK_SECONDS = 0.01  # longest tick of a kernel's clock
 LAST_CHUNK = b"0\r\n\r\n"
 REJECTION = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 SERVER_ERROR = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
@@ -47,9 +48,12 @@
 
 
 def since_last_data(stream: trio.SocketStream) -> float:
-    """Returns the seconds since data last arrived on a stream (tcp_info.tcpi_last_data_recv of Linux)."""
+    """Returns the seconds since data last arrived on a stream (tcp_info.tcpi_last_data_recv of Linux).
+
+    A time that may be due to the ticks of the kernel's clock counts as 0."""
     info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-    return struct.unpack_from("=I", info, 52)[0] / 1000.0
+    seconds = struct.unpack_from("=I", info, 52)[0] / 1000.0
+    return seconds if seconds > KERNEL_TICK_SECONDS else 0.0
 
 
 class Worker:
