Keep the record of a result that was sent for as long as its client may repeat it

Cause: a result that was sent counted as one that the client has, and the record on disk was deleted at once; only the register in memory, which goes with the process, knew it.

--- a/tests/test_attempt_windows.py
+++ b/tests/test_attempt_windows.py
@@ -171,3 +171,34 @@
     assert count_records() - before <= min(keys, MAX_ENTRIES)
     assert run.knows("save", "k0", at=WINDOW_MS - 1.0)
     run.close()
+
+
+@pytest.mark.parametrize("request_class", ("save", "once"))
+@trio_test
+async def test_a_result_that_was_sent_as_its_client_left_is_known_after_a_restart(
+    request_class, tmp_path
+):
+    """Guards against a second run after a restart: sent is not received, and the client repeats it."""
+    first = Run(tmp_path, "first", unsafe_window_ms=60_000.0)
+    deadline = first.classes[request_class].deadline
+    attempt = await first.send(request_class, "k")
+    first.state.attempts.attempt_finished(attempt, AttemptOutcome.SERVED)
+    first.state.attempts.request_finished(attempt.request, settled=True)
+    await first.state._write_pending()
+    first.close()
+    second = Run(tmp_path, "second", unsafe_window_ms=60_000.0)
+    assert second.knows(request_class, "k", at=deadline - 1.0)
+    second.close()
+
+
+@trio_test
+async def test_the_record_of_a_result_that_was_sent_is_deleted_once_no_client_repeats_it(tmp_path):
+    """Guards against a store that grows with the requests that were served."""
+    first = Run(tmp_path, "first", unsafe_window_ms=60_000.0)
+    attempt = await first.send("once", "k")
+    first.state.attempts.attempt_finished(attempt, AttemptOutcome.SERVED)
+    first.state.attempts.request_finished(attempt.request, settled=True)
+    first.now = first.classes["once"].deadline + 1.0
+    await first.state._write_pending()
+    assert not list(first.state._disk.store.scan(prefix=b"sent/"))
+    first.close()
