Health checks of workers in a module of their own

HealthProber takes the checks; what they do is unchanged (only the receiver of the calls in three tests changed).

--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -14,7 +14,7 @@
 from fixture_late_connections import Play, QueueWorker, WorkerAttempt, keyed_settings, play
 from helper import trio_test
 
-from yewrill.net.worker_client import UNNAMED_ANSWER_PAUSE_SECONDS
+from yewrill.net.worker_connections import UNNAMED_ANSWER_PAUSE_SECONDS
 
 PROTOCOL_TOLERANCE_MS = 50.0  # each time limit of the rules is longer by this over sockets
 ANSWER_SLACK_MS = (
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -404,7 +404,7 @@
         attempt = await service.engine.pick(request)
         assert service.endpoints.detach(attempt.worker)
         assert (await service.worker_client.run_attempt(attempt))[0] is AttemptOutcome.NOT_SENT
-        assert (await service.worker_client.probe("d1"))[0] is AttemptOutcome.REJECTED
+        assert (await service.health_prober.probe("d1"))[0] is AttemptOutcome.REJECTED
         assert not one.exchanges
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -623,7 +623,7 @@
         monkeypatch.setattr(Connection, "open", short)
         # A rejection, which shows that nothing ran; a request that may have run would fail with 502.
         assert (await harness.ask("/once")).status == 503
-        assert (await harness.service.worker_client.probe("d1"))[0] is AttemptOutcome.REJECTED
+        assert (await harness.service.health_prober.probe("d1"))[0] is AttemptOutcome.REJECTED
         monkeypatch.setattr(Connection, "open", real)
         began = trio.current_time()
         assert (await harness.ask("/once", X_Request_ID="r2")).status == 200
@@ -646,9 +646,9 @@
             (503, AttemptOutcome.REJECTED),
             (404, AttemptOutcome.FAILED),
         ):
-            assert (await harness.service.worker_client.probe("d1"))[0] is outcome
+            assert (await harness.service.health_prober.probe("d1"))[0] is outcome
         worker.script = hang
-        assert (await harness.service.worker_client.probe("d1"))[0] is AttemptOutcome.UNREACHABLE
+        assert (await harness.service.health_prober.probe("d1"))[0] is AttemptOutcome.UNREACHABLE
         # Each probe opens a connection: an old one says little about the worker.
         assert worker.connections == 4
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -115,7 +115,7 @@
         await harness.ask(body=b"full", X_Request_ID="full")
         await trio.testing.wait_all_tasks_blocked()
         assert worker.last_report == (5.0, 9.0, 0.0)
-        assert await harness.service.worker_client.probe("d1") == (
+        assert await harness.service.health_prober.probe("d1") == (
             AttemptOutcome.SERVED,
             {**GOOD, "x0": 4.0},
         )
--- a/yewrill/net/worker_connections.py
+++ b/yewrill/net/worker_connections.py
@@ -26,6 +26,9 @@
 # Time limit from the last line of an answer to the end of its HTTP message.
 MESSAGE_END_TIMEOUT_SECONDS = 0.25
 SWEEP_INTERVAL_SECONDS = 0.1
+# A response without a request id may be sent twice, some milliseconds apart, and the second one would be
+# taken for the answer to the next request: so its connection is not reused for this time.
+UNNAMED_ANSWER_PAUSE_SECONDS = 0.05
 
 
 @dataclass(slots=True)
