Register of attempts: after sends to several cells no zone detects all repeats

What callers could see: two processes of a hot restart sent a key to different zones at once; a third attempt was allowed in the first one's zone. Cause: spread was asked for in cells only.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -155,6 +155,19 @@
             assert isinstance(store, Store)
 
 
+@pytest.mark.parametrize("group", ("zone", "cell"))
+def test_what_two_processes_sent_to_several_places_is_sent_nowhere(group):
+    """Guards against a third attempt where one of two others is not detected."""
+    register = AttemptRegister()
+    identity = RequestIdentity("c", "t", "k")
+    register.add(identity, "own", SentAttempt(0.0, WINDOW, 0, 0))
+    register.merge(identity, "peer", SentAttempt(0.0, WINDOW, 1, 1))
+    kind = Idempotency.IDEMPOTENT_BY_KEY
+    spec = RequestClass("c", 1.0, 1.0, idempotency=kind, group=group, window=WINDOW)
+    for place in (0, 1):
+        assert register.send_until(identity, "third", spec, WINDOW, place, place) == NEVER
+
+
 def test_an_entry_lives_as_long_as_the_last_attempt_that_counts():
     """Guards against forgetting a key while a repeat of it, sent late in the window, is in flight."""
     register = AttemptRegister()
