--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -38,6 +38,7 @@
     attempts: list[WorkerAttempt] = field(default_factory=list)
     workers: list[QueueWorker] = field(default_factory=list)
     running: Play | None = None
+    fails_after: float = FAILS_AFTER_SECONDS
 
     def __post_init__(self) -> None:
         self.workers = [QueueWorker(f"d{i}", self.attempts, self.behave) for i in range(2)]
@@ -53,11 +54,11 @@
 
     async def fail_first(self, attempt: WorkerAttempt) -> None:
         for worker in self.workers:
-            self.running.nursery.start_soon(worker.hold, FAILS_AFTER_SECONDS + QUEUE_FULL_SECONDS)
+            self.running.nursery.start_soon(worker.hold, self.fails_after + QUEUE_FULL_SECONDS)
             worker.forget_connections()
         self.running.discovery.publish({**attempt.worker.entry(), "state": "DRAINING"})
         await attempt.send_head()
-        await trio.sleep(FAILS_AFTER_SECONDS)
+        await trio.sleep(self.fails_after)
         attempt.reset()
 
     async def connect_all(self) -> None:
@@ -72,14 +73,17 @@
         return [(each.last_byte - attempts[0].first_byte) * 1000.0 for each in attempts]
 
 
-@pytest.mark.parametrize("window", WINDOWS_MS)
+@pytest.mark.parametrize(
+    "window, fails_after",
+    [*((window, FAILS_AFTER_SECONDS) for window in WINDOWS_MS), (3000.0, 2.2)],
+)
 @pytest.mark.parametrize("kept", (True, False), ids=("kept_connection_breaks", "new_connection"))
 @trio_test
 async def test_a_keyed_retry_whose_connection_comes_up_after_the_window_is_not_sent(
-    kept, window, tmp_path
+    kept, window, fails_after, tmp_path
 ):
     """Guards against the incident: a retry sent 1.1 s after the first attempt, in a window of 1 s."""
-    fleet = Fleet()
+    fleet = Fleet(fails_after=fails_after)
     async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
         if kept:
             await fleet.connect_all()
