--- a/yewrill/policy/dispatcher.py
+++ b/yewrill/policy/dispatcher.py
@@ -199,8 +199,9 @@
     # -- the queues
 
     def _enqueue(self, request: PendingRequest) -> None:
-        if request.repeat_until() < request.answer_by:
-            self._answer_by(request, request.repeat_until())
+        repeat_until = request.repeat_until()
+        if repeat_until < request.answer_by:
+            self._answer_by(request, repeat_until)
         self._sequence += 1
         request.queued, request.sequence = True, self._sequence
         insort(self.queues[request.spec.kind], (request.latest_start, request.sequence, request))
--- a/yewrill/policy/repeat_window.py
+++ b/yewrill/policy/repeat_window.py
@@ -30,3 +30,12 @@
     if idempotency == _NON_IDEMPOTENT:
         return NEVER
     return first_sent_at + window + PROTOCOL_TOLERANCE_MS - MAX_HOLD_UP_MS
+
+
+def shares_group(group: str, zone: int, cell: int, other_zone: int, other_cell: int) -> bool:
+    """Returns whether two workers detect each other's repeats. `group`: "all", "zone" or "cell"."""
+    if group == "all":
+        return True
+    if group == "zone":
+        return zone == other_zone
+    return cell == other_cell
--- a/yewrill/policy/requests.py
+++ b/yewrill/policy/requests.py
@@ -8,7 +8,7 @@
 
 from yewrill.policy import interface as api
 from yewrill.policy.client_timeout import ClientTimeoutEstimate
-from yewrill.policy.repeat_window import repeat_until
+from yewrill.policy.repeat_window import repeat_until, shares_group
 from yewrill.policy.trial_requests import TrialRequests
 from yewrill.policy.worker_estimate import WorkerEstimate
 
@@ -229,11 +229,9 @@
         spec = self.spec
         if self.must_not_repeat(now):
             return False
-        if spec.idempotency == _IDEMPOTENT or spec.group == "all":
-            return True
-        if spec.group == "zone":
-            return worker.zone == self.ran_zone
-        return worker.cell == self.ran_cell
+        return spec.idempotency == _IDEMPOTENT or shares_group(
+            spec.group, worker.zone, worker.cell, self.ran_zone, self.ran_cell
+        )
 
     def may_reject(self) -> bool:
         """Returns whether a rejection is allowed: it promises the client that a retry is safe."""
