--- a/yewrill/dispatch/clock.py
+++ b/yewrill/dispatch/clock.py
@@ -1,10 +1,11 @@
-"""The decision engine's monotonic clock, in ms, and the timers that the policy module sets on it."""
+"""The decision engine's monotonic clock, in ms, and timers, such as those that the policy module sets."""
 
 from __future__ import annotations
 
 import math
 import time
 from heapq import heappop, heappush
+from typing import Generic, TypeVar
 
 import trio
 
@@ -14,6 +15,8 @@
 # time, because the policy module takes 0 for "long ago".
 CLOCK_START_MS = 1_000_000.0
 
+Token = TypeVar("Token", int, bytes)
+
 
 class Clock:
     """A monotonic clock based on the event loop's clock, to which it also converts workers' start times."""
@@ -46,17 +49,21 @@
         return 0.0 if started is None else max(1.0, started)
 
 
-class Timers:
-    """Timer tokens, ordered by due time."""
+class Timers(Generic[Token]):
+    """Tokens, ordered by due time."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int]] = []
+        self._heap: list[tuple[float, Token]] = []
+
+    def __len__(self) -> int:
+        """The number of tokens."""
+        return len(self._heap)
 
-    def set(self, at: float, token: int) -> None:
+    def set(self, at: float, token: Token) -> None:
         """Schedules a token for the given time."""
         heappush(self._heap, (at, token))
 
-    def pop_due(self, now: float) -> list[int]:
+    def pop_due(self, now: float) -> list[Token]:
         """Removes and returns the tokens that are due, the earliest first."""
         due = []
         while self._heap and self._heap[0][0] <= now:
