Tests of late repeats: the soak's wire pieces, one check of a repeat that is held back

Read again: the stand-in worker wrote the soak's messages and its reset a second time, six tests had the same three assertions and their clock, two the same worker that does not read.

--- a/tests/fixture_late_connections.py
+++ b/tests/fixture_late_connections.py
@@ -1,9 +1,6 @@
 """A real dispatcher process between workers whose connections can be made to come up late.
 
-The listening queue of a worker can be filled.
-
-A worker notes the times of the first and the last byte of every attempt. While a worker holds its queue, the
-kernel drops each SYN; the client's kernel sends it again after about a second.
+A worker notes the times of the first and the last byte of every attempt.
 """
 
 from __future__ import annotations
@@ -12,7 +9,6 @@
 import re
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import time
@@ -26,7 +22,9 @@
 import ujson
 from helper import SETTINGS, Client, Discovery, Reply
 
+from yewrill.lab.soak.http import reset
 from yewrill.lab.soak.late_listener import LateListener
+from yewrill.lab.soak.workers import LAST_CHUNK, REJECTION, RESPONSE_HEAD, progress_line
 
 READY_SECONDS = 20.0
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
@@ -47,32 +45,25 @@
 
     async def send_line(self, state: str, **more) -> None:
         """Sends a line of the answer, in a chunk of its own."""
-        line = ujson.dumps({"id": self.id, "from": self.worker.name, "state": state, **more}) + "\n"
-        await self.stream.send_all(f"{len(line):x}\r\n{line}\r\n".encode())
+        await self.stream.send_all(progress_line(self.id, state, **more))
 
     async def send_head(self) -> None:
         """Sends the head of the answer."""
-        await self.stream.send_all(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
+        await self.stream.send_all(RESPONSE_HEAD)
 
     async def done(self) -> None:
         """Sends a whole answer with a result."""
         await self.send_head()
         await self.send_line("done", result="saved")
-        await self.stream.send_all(b"0\r\n\r\n")
+        await self.stream.send_all(LAST_CHUNK)
 
     async def reject(self) -> None:
         """Returns the request unprocessed, and keeps the connection."""
-        await self.stream.send_all(
-            b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
-        )
+        await self.stream.send_all(REJECTION)
 
     def reset(self) -> NoReturn:
         """Resets the connection and ends its conversation."""
-        linger_seconds_0 = struct.pack("ii", 1, 0)
-        self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_seconds_0)
-        self.stream.socket.close()
+        reset(self.stream)
         raise trio.BrokenResourceError
 
 
@@ -87,10 +78,8 @@
     attempts: list[WorkerAttempt]
     behavior: Behavior
     cell: int = 0
-    zone: str = "room"
-    receive_buffer: int = (
-        0  # size of the receive buffer of its connections, in bytes; 0: the system's
-    )
+    # Size of the receive buffers of its connections in bytes, 0 for the system's default.
+    receive_buffer: int = 0
     listener: LateListener | None = None
     reading: trio.Event = field(default_factory=trio.Event)  # set while input is read
     _streams: set = field(default_factory=set)
@@ -164,7 +153,7 @@
         return {
             "id": self.name,
             "addr": "{}:{}".format(*self.listener.address),
-            "zone": self.zone,
+            "zone": "room",
             "kind": "std",
             "cell": self.cell,
             "state": "SERVING",
@@ -195,9 +184,7 @@
 class DispatcherProcess:
     """One process of the dispatcher."""
 
-    def __init__(
-        self, folder: Path, name: str, config: dict, listening: socket.socket | None = None
-    ):
+    def __init__(self, folder: Path, name: str, config: dict, listening: socket.socket):
         self.folder, self.name, self.config = folder, name, config
         self.config_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
@@ -206,19 +193,16 @@
             **os.environ,
             "BALANCER_CONFIG": str(self.config_path),
             "TMPDIR": str(folder),
+            "BALANCER_INHERITED_FD": str(listening.fileno()),
             "YEWRILL_LOG": "INFO",
         }
-        inherited = ()
-        if listening is not None:
-            inherited = (listening.fileno(),)
-            environment["BALANCER_INHERITED_FD"] = str(listening.fileno())
         with self.log_path.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "yewrill"],
                 env=environment,
                 stdout=log,
                 stderr=log,
-                pass_fds=inherited,
+                pass_fds=(listening.fileno(),),
                 cwd=os.environ.get("YEWRILL_TEST_PROGRAM") or None,
             )
 
--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -7,6 +7,8 @@
 
 import signal
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -17,9 +19,8 @@
 from yewrill.net.worker_connections import UNNAMED_ANSWER_PAUSE_SECONDS
 
 PROTOCOL_TOLERANCE_MS = 50.0  # each time limit of the rules is longer by this over sockets
-ANSWER_SLACK_MS = (
-    100.0  # from the end of the window to the answer of a request that may not be sent again
-)
+# From the end of the window to the answer of a request that may not be sent again.
+ANSWER_SLACK_MS = 100.0
 FAILS_AFTER_SECONDS = 0.12
 QUEUE_FULL_SECONDS = 0.6
 SYN_RESENT_SECONDS = 1.0
@@ -31,6 +32,11 @@
 WINDOWS_MS = (300.0, 500.0, 1000.0)
 
 
+def last_bytes_ms(attempts: list[WorkerAttempt]) -> list[float]:
+    """Returns when the last byte of each attempt arrived, from the first attempt's first byte."""
+    return [(each.last_byte - attempts[0].first_byte) * 1000.0 for each in attempts]
+
+
 @dataclass
 class Fleet:
     """Workers of one cell. The first attempt of each key fails, and no connection comes up from then on."""
@@ -67,10 +73,20 @@
         assert {attempt.worker.name for attempt in self.attempts} == {w.name for w in self.workers}
         await trio.sleep(2 * UNNAMED_ANSWER_PAUSE_SECONDS)
 
-    def last_bytes_ms(self, key: str) -> list[float]:
-        """Returns when the last byte of each attempt arrived, from the first attempt's first byte."""
-        attempts = [attempt for attempt in self.attempts if attempt.key == key]
-        return [(each.last_byte - attempts[0].first_byte) * 1000.0 for each in attempts]
+    async def check_not_sent_again(
+        self, window: float, id: str = "r1", began: float | None = None, body: bytes = b"{}"
+    ) -> None:
+        """Sends a request; it must be failed as the window ends, and nothing of it may arrive after that.
+
+        `began`: when the window began, in seconds of the monotonic clock; None for now."""
+        began = time.monotonic() if began is None else began
+        reply = await self.running.ask("/save", id, "k1", body=body)
+        answered_ms = (time.monotonic() - began) * 1000.0
+        await trio.sleep(READ_AFTER_SECONDS)
+        attempts = [attempt for attempt in self.attempts if attempt.key == "k1"]
+        assert max(last_bytes_ms(attempts)) <= window + PROTOCOL_TOLERANCE_MS
+        assert reply.status == 502
+        assert answered_ms <= window + ANSWER_SLACK_MS
 
 
 @pytest.mark.parametrize(
@@ -87,13 +103,7 @@
     async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
         if kept:
             await fleet.connect_all()
-        began = time.monotonic()
-        reply = await fleet.running.ask("/save", "r1", "k1")
-        answered_ms = (time.monotonic() - began) * 1000.0
-        await trio.sleep(QUEUE_FULL_SECONDS)
-        assert max(fleet.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
-        assert reply.status == 502
-        assert answered_ms <= window + ANSWER_SLACK_MS
+        await fleet.check_not_sent_again(window)
         log = fleet.running.processes[0].log()
         assert ("worker_connection_stale" in log) is kept
 
@@ -116,28 +126,14 @@
         assert other.open_connections == 1
 
 
-@dataclass
-class KeyTwice:
-    """A worker whose connections come up late, and a second one that is listed later."""
-
-    attempts: list[WorkerAttempt] = field(default_factory=list)
-
-    async def serve(self, attempt: WorkerAttempt) -> None:
-        await trio.sleep(RUN_SECONDS)
-        await attempt.done()
-
-    def last_bytes_ms(self) -> list[float]:
-        return [(each.last_byte - self.attempts[0].first_byte) * 1000.0 for each in self.attempts]
-
-
 @pytest.mark.parametrize("window", (300.0, 500.0))
 @trio_test
 async def test_a_request_that_waits_for_its_connection_is_not_sent_after_another_of_its_key(
     window, tmp_path
 ):
     """Guards against the window of a key that begins with another request, while this one waits."""
-    fleet = KeyTwice()
-    late, ready = (QueueWorker(name, fleet.attempts, fleet.serve) for name in ("d0", "d1"))
+    attempts: list[WorkerAttempt] = []
+    late, ready = (QueueWorker(name, attempts, WorkerAttempt.done) for name in ("d0", "d1"))
     replies, times = {}, {}
     async with play(tmp_path, [late], keyed_settings(window), mgmt="127.0.0.1:0") as running:
         await running.nursery.start(ready.serve)
@@ -154,31 +150,41 @@
             running.discovery.publish(ready.entry())
             await trio.sleep(0.05)
             nursery.start_soon(ask, "second")
-        fleet.attempts[:] = [attempt for attempt in fleet.attempts if attempt.key]
-        assert fleet.attempts[0].id == "second"
-        assert max(fleet.last_bytes_ms()) <= window + PROTOCOL_TOLERANCE_MS
+        assert attempts[0].id == "second"
+        assert max(last_bytes_ms(attempts)) <= window + PROTOCOL_TOLERANCE_MS
         assert replies["second"].status == 200
         assert replies["first"].status in (200, 502)
-        answered_ms = (times["first"] - fleet.attempts[0].first_byte) * 1000.0
+        answered_ms = (times["first"] - attempts[0].first_byte) * 1000.0
         assert answered_ms <= window + ANSWER_SLACK_MS
         await trio.sleep(QUEUE_FULL_SECONDS)
-        assert max(fleet.last_bytes_ms()) <= window + PROTOCOL_TOLERANCE_MS
+        assert max(last_bytes_ms(attempts)) <= window + PROTOCOL_TOLERANCE_MS
+
+
+@asynccontextmanager
+async def unread_worker(tmp_path) -> AsyncIterator[tuple[Play, QueueWorker]]:
+    """Runs a dispatcher and a worker that does not read, with a buffer too small for a large body."""
+    worker = QueueWorker("d0", [], WorkerAttempt.done, receive_buffer=SMALL_BUFFER_BYTES)
+    async with play(tmp_path, [worker], keyed_settings(1000.0)) as running:
+        worker.reading = trio.Event()
+        yield running, worker
+
+
+async def check_nothing_arrives(worker: QueueWorker) -> None:
+    """Lets a worker read; no attempt may come out of what has been sent to it."""
+    worker.reading.set()
+    await trio.sleep(QUEUE_FULL_SECONDS)
+    assert not worker.attempts
 
 
 @trio_test
 async def test_the_bytes_of_an_attempt_that_was_given_up_do_not_arrive_later(tmp_path):
     """Guards against a request that runs after its final answer, since its bytes were with the kernel."""
-    attempts: list[WorkerAttempt] = []
-    worker = QueueWorker("d0", attempts, WorkerAttempt.done, receive_buffer=SMALL_BUFFER_BYTES)
-    async with play(tmp_path, [worker], keyed_settings(1000.0)) as running:
-        worker.reading = trio.Event()
+    async with unread_worker(tmp_path) as (running, worker):
         client = await running.client()
         headers = {**running.headers("r1", "k1"), "X_Timeout_Ms": "900"}
         reply = await client.ask("/save", body=LARGE_BODY, **headers)
         assert reply.status in (502, 503)
-        worker.reading.set()
-        await trio.sleep(QUEUE_FULL_SECONDS)
-        assert not attempts
+        await check_nothing_arrives(worker)
 
 
 @dataclass
@@ -212,14 +218,7 @@
     """Guards against judging a repeat by its first byte: it counts once its last one has arrived."""
     fleet = LateReaders()
     async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
-        client = await fleet.running.client()
-        began = time.monotonic()
-        reply = await client.ask("/save", body=LARGE_BODY, **fleet.running.headers("r1", "k1"))
-        answered_ms = (time.monotonic() - began) * 1000.0
-        await trio.sleep(READ_AFTER_SECONDS)
-        assert max(fleet.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
-        assert reply.status == 502
-        assert answered_ms <= window + ANSWER_SLACK_MS
+        await fleet.check_not_sent_again(window, body=LARGE_BODY)
 
 
 @pytest.mark.parametrize("window", WINDOWS_MS)
@@ -229,11 +228,7 @@
     fleet = Fleet()
     fleet.workers.pop()
     async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
-        began = time.monotonic()
-        reply = await fleet.running.ask("/save", "r1", "k1")
-        answered_ms = (time.monotonic() - began) * 1000.0
-        assert reply.status == 502
-        assert answered_ms <= window + ANSWER_SLACK_MS
+        await fleet.check_not_sent_again(window)
         assert len(fleet.attempts) == 1
 
 
@@ -254,14 +249,8 @@
             process.signal(signal.SIGHUP)
 
         fleet.running.nursery.start_soon(reload)
-        began = time.monotonic()
-        reply = await fleet.running.ask("/save", "r1", "k1")
-        answered_ms = (time.monotonic() - began) * 1000.0
-        await trio.sleep(SYN_RESENT_SECONDS)
+        await fleet.check_not_sent_again(shorter)
         assert " reloaded " in process.log()
-        assert max(fleet.last_bytes_ms("k1")) <= shorter + PROTOCOL_TOLERANCE_MS
-        assert reply.status == 502
-        assert answered_ms <= shorter + ANSWER_SLACK_MS
 
 
 @pytest.mark.parametrize("state_dir", (False, True))
@@ -291,14 +280,13 @@
         self.running.discovery.publish({**attempt.worker.entry(), "state": "DRAINING"})
         await trio.sleep_forever()
 
-    async def leave(self, id: str, key: str) -> float:
-        """Sends a request, leaves once a worker has it, and returns the time of its first byte."""
+    async def leave(self) -> None:
+        """Sends a request and leaves once a worker has it."""
         client = await self.running.client()
-        await client.send("/save", **self.running.headers(id, key))
+        await client.send("/save", **self.running.headers("r1", "k1"))
         while not self.attempts:
             await trio.sleep(0.005)
         await client.stream.aclose()
-        return self.attempts[0].first_byte
 
     async def repeat_late(self, after: float, window: float) -> None:
         """Sends the key again; no connection comes up for a while. Checks attempts and answer."""
@@ -307,12 +295,7 @@
         for worker in self.workers:
             self.running.nursery.start_soon(worker.hold, QUEUE_FULL_SECONDS)
         await trio.sleep(0.02)
-        reply = await self.running.ask("/save", "r2", "k1")
-        answered_ms = (time.monotonic() - first_byte) * 1000.0
-        await trio.sleep(SYN_RESENT_SECONDS)
-        assert max(self.last_bytes_ms("k1")) <= window + PROTOCOL_TOLERANCE_MS
-        assert reply.status == 502
-        assert answered_ms <= window + ANSWER_SLACK_MS
+        await self.check_not_sent_again(window, id="r2", began=first_byte)
 
 
 @pytest.mark.parametrize("state_dir", (False, True))
@@ -325,7 +308,7 @@
     fleet = Leavers()
     state = {"state_dir": str(tmp_path / "state")} if state_dir else {}
     async with play(tmp_path, fleet.workers, keyed_settings(window), **state) as fleet.running:
-        await fleet.leave("r1", "k1")
+        await fleet.leave()
         await fleet.repeat_late(0.45 * window / 1000.0, window)
 
 
@@ -335,7 +318,7 @@
     fleet, window = Leavers(), 3000.0
     async with play(tmp_path, fleet.workers, keyed_settings(window)) as fleet.running:
         [old] = fleet.running.processes
-        await fleet.leave("r1", "k1")
+        await fleet.leave()
         new = await fleet.running.start_dispatcher()
         old.signal(signal.SIGTERM)
         await fleet.repeat_late(2.2, window)
@@ -345,15 +328,10 @@
 @trio_test
 async def test_the_bytes_of_an_attempt_whose_client_has_left_do_not_arrive_later(tmp_path):
     """Guards against an attempt that begins at its worker after its client has gone."""
-    attempts: list[WorkerAttempt] = []
-    worker = QueueWorker("d0", attempts, WorkerAttempt.done, receive_buffer=SMALL_BUFFER_BYTES)
-    async with play(tmp_path, [worker], keyed_settings(1000.0)) as running:
-        worker.reading = trio.Event()
+    async with unread_worker(tmp_path) as (running, worker):
         client = await running.client()
         await client.send("/save", body=LARGE_BODY, **running.headers("r1", "k1"))
         await trio.sleep(FAILS_AFTER_SECONDS)
         await client.stream.aclose()
         await trio.sleep(LEFT_SLACK_SECONDS)
-        worker.reading.set()
-        await trio.sleep(QUEUE_FULL_SECONDS)
-        assert not attempts
+        await check_nothing_arrives(worker)
