--- a/yewrill/lab/soak/oracle.py
+++ b/yewrill/lab/soak/oracle.py
@@ -96,9 +96,8 @@
     cold_window: float
     persistent_state: bool = False
     memory_mb: int = 192
-    keyed_group: str = (
-        "all"  # the workers that detect repeats of a key: all of them, or those of a cell
-    )
+    # The workers that detect repeats of a key: "all" of them, or those of a "cell".
+    keyed_group: str = "all"
     keyed_deadline: float = 3.0  # a client repeats a key within this time after its first request
 
 
